Set down the shape: tables, commands, ports and the order of systems

The repository was empty. This commit lays out the folders and the core types that all later work builds on: tables of entities with columns side by side, one typed command a log record, enumerations with checked tables of names, ports as concepts, and the fixed order of systems over one node's tables.

--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Sets up a fresh machine, builds, checks format and lint, and runs every test.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/setup.sh
+scripts/build.sh
+scripts/format.sh
+scripts/lint.sh
+"${BUILD_DIR:-build}/flamingotally-tests"
--- /dev/null
+++ b/src/core/enum_table.h
@@ -0,0 +1,67 @@
+/** @file enum_table.h Constant tables with one row for each value of an enumeration. */
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace flamingotally
+{
+
+/** Number of values of an enumeration whose last enumerator is `End`. */
+template<typename E>
+constexpr std::size_t enumSize = static_cast<std::size_t>(E::End);
+
+/** Row of a table that holds nothing but names. */
+template<typename E>
+struct NameRow {
+    E value; ///< The enumerator this row is about.
+    std::string_view name; ///< Its name in settings, JSON, logs and metrics.
+};
+
+/** Table with one row for each value of `E`, in the order of the enumeration. */
+template<typename E, typename Row = NameRow<E>>
+using EnumTable = std::array<Row, enumSize<E>>;
+
+/**
+ * Tells whether every row stands at the place of its value and bears a name. For `static_assert` beside the table.
+ * @param table The table to check.
+ * @return True when no row is missing, misplaced or nameless.
+ */
+template<typename Row, std::size_t N>
+constexpr bool isComplete(const std::array<Row, N> &table)
+{
+    for (std::size_t n = 0; n < N; ++n) {
+        if (static_cast<std::size_t>(table[n].value) != n || table[n].name.empty()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/** Row of a value. */
+template<typename E, typename Row, std::size_t N>
+constexpr const Row &rowOf(const std::array<Row, N> &table, E value)
+{
+    return table[static_cast<std::size_t>(value)];
+}
+
+/**
+ * Finds the value that bears a name.
+ * @param table The table to search.
+ * @param name The name, exactly as in the table.
+ * @return The value, or nothing when no row has this name.
+ */
+template<typename Row, std::size_t N>
+constexpr auto valueNamed(const std::array<Row, N> &table, std::string_view name) -> std::optional<decltype(Row::value)>
+{
+    for (const auto &row : table) {
+        if (row.name == name) {
+            return row.value;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/daemon_cmd.h
@@ -0,0 +1,14 @@
+/** @file daemon_cmd.h Commands on entry daemons, and on the log itself. */
+#pragma once
+
+#include "command_func.h"
+
+namespace flamingotally
+{
+
+CommandResult apply(Tables &tables, const RecordContext &context, const JoinDaemon &command, Phase phase);
+CommandResult apply(Tables &tables, const RecordContext &context, const LeaveDaemon &command, Phase phase);
+CommandResult apply(Tables &tables, const RecordContext &context, const SwitchVersion &command, Phase phase);
+CommandResult apply(Tables &tables, const RecordContext &context, const SnapshotChunk &command, Phase phase);
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/daemon_type.h
@@ -0,0 +1,12 @@
+/** @file daemon_type.h Entry daemons: addresses. */
+#pragma once
+
+#include "core/table.h"
+
+namespace flamingotally
+{
+
+struct DaemonTag;
+using DaemonRef = Ref<DaemonTag>;
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/net/clock.h
@@ -0,0 +1,17 @@
+/** @file clock.h The runtime's clock in the daemons. The only place of the product that reads the time. */
+#pragma once
+
+#include "core/time_type.h"
+
+namespace flamingotally
+{
+
+/** Reads the clocks of the machine. */
+class SystemClock
+{
+public:
+    MonotonicTime now() const;
+    WallTime wallNow() const;
+};
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/node_base.h
@@ -0,0 +1,236 @@
+/**
+ * @file node_base.h One daemon's own state: the replicated tables, local tables, inboxes and outboxes. Systems run
+ * over it each tick.
+ */
+#pragma once
+
+#include "message_type.h"
+#include "settings_type.h"
+#include "tables.h"
+
+#include <array>
+#include <deque>
+#include <random>
+
+namespace flamingotally
+{
+
+/** What arrived since the last tick. Network code fills it. */
+struct Inbox {
+    std::vector<LogRead> logReads;
+    std::vector<LogRead> peerReads; ///< Records fetched from a peer; prove nothing about the log's end.
+    std::vector<AppendAnswer> appendAnswers;
+    std::vector<WorkerReport> workerReports;
+    std::vector<ReceivedHeartbeat> heartbeats;
+    std::vector<HostListRead> hostLists;
+    std::vector<CallerRequest> callerRequests;
+};
+
+/** A heartbeat on its way out. */
+struct OutgoingHeartbeat {
+    std::string address; ///< "IP:port" of the peer.
+    Heartbeat heartbeat;
+};
+
+/** A fetch of records from a peer. */
+struct RecordFetch {
+    std::string address; ///< "IP:port" of the peer.
+    std::uint64_t fromOffset = 0;
+};
+
+/** What the tick decided to send. Network code empties it. */
+struct Outbox {
+    std::optional<Batch> append;
+    std::optional<std::uint64_t> readFrom; ///< Read the log from this offset on.
+    std::vector<WorkerSync> workerSyncs;
+    std::vector<OutgoingHeartbeat> heartbeats;
+    std::vector<RecordFetch> recordFetches;
+    std::vector<CallerAnswer> answers;
+    bool readHosts = false;
+};
+
+struct ProposalTag;
+using ProposalRef = Ref<ProposalTag>;
+
+/** How far a proposal is. */
+enum class ProposalPhase : std::uint8_t {
+    Queued, ///< Waits for a batch.
+    InFlight, ///< In the batch that is being appended.
+    End,
+};
+
+/** A command that this daemon wants in the log. */
+struct Proposal {
+    Command command;
+    ProposalPhase phase = ProposalPhase::Queued;
+    bool urgent = false; ///< Closes the batch at once.
+    MonotonicTime queuedAt{};
+    std::size_t bytes = 0; ///< Estimate of its encoded size.
+    RequestHandle handle = 0; ///< The caller who waits for it; zero for none.
+};
+
+using ProposalTable = Table<ProposalTag, Proposal>;
+
+/** The one batch that is being appended. */
+struct BatchInFlight {
+    Batch batch;
+    std::vector<ProposalRef> proposals; ///< In the order of the batch's commands.
+    MonotonicTime sentAt{};
+    bool answered = false; ///< The log has stored it; only the read-back is missing.
+    bool mayBeStored = false; ///< It was sent at least once without a definite refusal.
+};
+
+struct PeerTag;
+using PeerRef = Ref<PeerTag>;
+
+/** What is known of another daemon by its heartbeats. */
+struct Peer {
+    std::string daemon;
+    std::uint64_t incarnation = 0;
+    MonotonicTime heardAt{}; ///< Arrival of its last heartbeat.
+    std::uint64_t head = 0; ///< End of the log that it knows of...
+    MonotonicTime headAt{}; ///< ... and when, by this daemon's clock, that was proven at the latest.
+    std::uint64_t appliedOffset = 0;
+    std::uint64_t digestOffset = 0;
+    std::uint64_t digest = 0;
+    bool leaving = false;
+    bool readsLog = false;
+};
+
+using PeerTable = Table<PeerTag, Peer>;
+
+struct WorkerLinkTag;
+using WorkerLinkRef = Ref<WorkerLinkTag>;
+
+/** This daemon's line to one worker. Rows exist only for workers that it owns or owned lately. */
+struct WorkerLink {
+    WorkerRef worker; ///< Unset while the worker is not registered.
+    std::string name;
+    std::string address;
+    std::string domain;
+    std::string rack;
+    std::uint64_t bootId = 0; ///< Last boot that it reported; zero when it was never heard.
+    WorkerTime clock{}; ///< Its clock at the last report.
+    MonotonicTime heardAt{}; ///< Arrival of its last report.
+    MonotonicTime unreachableSince{}; ///< First failure since; zero when the last exchange succeeded.
+    MonotonicTime polledAt{}; ///< When the exchange that waits was sent.
+    bool polling = false; ///< An exchange that waits is under way.
+    std::uint64_t ackedReport = 0; ///< Ends up to this number are in the log.
+    bool listed = false; ///< On the last host list.
+    bool leaving = false; ///< Marked as leaving there.
+    Resources total; ///< What it last reported to have.
+};
+
+using WorkerLinkTable = Table<WorkerLinkTag, WorkerLink>;
+
+struct AttemptLinkTag;
+using AttemptLinkRef = Ref<AttemptLinkTag>;
+
+/** What this daemon knows of an attempt beyond the log. */
+struct AttemptLink {
+    AttemptNumber attempt = 0;
+    bool confirmed = false; ///< The worker reported it as running.
+    bool endProposed = false; ///< Its end is in a proposal.
+    MonotonicTime startSentAt{}; ///< Last start order.
+    MonotonicTime renewedAt{}; ///< Last renewal.
+    MonotonicTime stopSentAt{}; ///< Last stop order.
+    MonotonicTime lapsingReadAt{}; ///< When this daemon read the lapsing mark.
+    MonotonicTime lapseProposedAt{}; ///< Last proposal of a mark or confirmation.
+    std::uint64_t report = 0; ///< Number of the worker's report of its end.
+    Resources usage; ///< Last reported usage.
+};
+
+using AttemptLinkTable = Table<AttemptLinkTag, AttemptLink>;
+
+struct WaiterTag;
+using WaiterRef = Ref<WaiterTag>;
+
+/** A caller who waits. */
+struct Waiter {
+    RequestHandle handle = 0;
+    RequestId request; ///< Job whose end it waits for; unset while it waits for a proposal only.
+    MonotonicTime until{}; ///< Answered by then in any case.
+    bool accepted = false; ///< Its proposal has been read back.
+    ProposalRef proposal; ///< Its proposal, until read back.
+    CommandResult result;
+};
+
+using WaiterTable = Table<WaiterTag, Waiter>;
+
+/** How much this daemon knows of the log's end. */
+struct View {
+    std::uint64_t knownHead = 0; ///< Highest end of the log known from any source.
+    MonotonicTime freshAt{}; ///< Latest time at which all records that existed were applied here.
+    MonotonicTime lastReadAt{}; ///< When the log last answered a read.
+    MonotonicTime entryReceivedAt{}; ///< When the last record arrived, to estimate the log's clock.
+    bool fresh = false; ///< Whether the view is younger than the fence, as of this tick.
+    bool caughtUp = false; ///< Whether the head was reached once since the start.
+    bool reading = false; ///< A read is under way.
+    bool lastReadFailed = false;
+    bool blocked = false; ///< A record of an unknown version stopped this daemon.
+};
+
+/** Counters that /metrics shows. */
+struct Counters {
+    std::array<std::uint64_t, static_cast<std::size_t>(Reason::End)> refusals{}; ///< Answers to callers.
+    std::array<std::uint64_t, static_cast<std::size_t>(Reason::End)> rejections{}; ///< Own commands at apply.
+    std::array<std::uint64_t, static_cast<std::size_t>(RetryReason::End)> retries{};
+    std::uint64_t accepted = 0;
+    std::uint64_t starts = 0; ///< Starts confirmed by workers.
+    std::uint64_t appends = 0;
+    std::uint64_t appendedBytes = 0;
+    std::uint64_t recordsApplied = 0;
+    std::uint64_t ticks = 0;
+    std::uint64_t heartbeatsDropped = 0; ///< Malformed, unauthenticated or of an unknown version.
+    std::uint64_t digestMismatches = 0;
+    std::uint64_t snapshotsLoaded = 0;
+    std::uint64_t snapshotsWritten = 0;
+};
+
+/** Life of the process. */
+enum class NodePhase : std::uint8_t {
+    CatchingUp, ///< Reads the log; takes no work.
+    Serving,
+    Draining, ///< Shutting down: finishes what it has.
+    Drained, ///< Nothing left to do: the process may exit.
+    End,
+};
+
+/** What systems read of the clocks: one reading a tick. */
+struct TickTime {
+    MonotonicTime now{};
+    WallTime wall{};
+};
+
+/** One daemon. */
+struct Node {
+    Settings settings;
+    std::uint64_t incarnation = 0; ///< Of this process: rises over restarts.
+    NodePhase phase = NodePhase::CatchingUp;
+    Tables tables; ///< Replicated.
+    View view;
+    Inbox inbox;
+    Outbox outbox;
+    ProposalTable proposals;
+    std::optional<BatchInFlight> inFlight;
+    std::uint64_t nextSequence = 1;
+    PeerTable peers;
+    WorkerLinkTable workerLinks;
+    AttemptLinkTable attemptLinks;
+    WaiterTable waiters;
+    absl::flat_hash_map<std::string, WorkerLinkRef> workerLinkByName;
+    absl::flat_hash_map<AttemptNumber, AttemptLinkRef> attemptLinkByNumber;
+    absl::flat_hash_map<std::string, PeerRef> peerByName;
+    absl::flat_hash_map<RequestHandle, WaiterRef> waiterByHandle;
+    Counters counters;
+    std::mt19937_64 random; ///< Seeded by whoever builds the node.
+    MonotonicTime nextWake{}; ///< Latest time of the next tick, set by the tick.
+    MonotonicTime heartbeatSentAt{};
+    MonotonicTime hostsReadAt{};
+    MonotonicTime snapshotAt{};
+    bool joinProposed = false;
+    std::uint64_t digestOffset = 0; ///< Offset of the last own digest.
+    std::uint64_t digest = 0;
+};
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/ports.h
@@ -0,0 +1,63 @@
+/**
+ * @file ports.h What the runtime needs of the outside, as concepts. Asio implements them in the daemon, fakes with a
+ * virtual clock in the tests. All calls return at once; answers arrive in the node's inboxes.
+ */
+#pragma once
+
+#include "message_type.h"
+
+#include <concepts>
+
+namespace flamingotally
+{
+
+/** Reads time. */
+template<typename T>
+concept Clock = requires(const T &clock)
+{
+    {
+        clock.now()
+        } -> std::same_as<MonotonicTime>;
+    {
+        clock.wallNow()
+        } -> std::same_as<WallTime>;
+};
+
+/** Appends to the log and reads it from an offset on. */
+template<typename T>
+concept LogClient = requires(T &client, const Batch &batch, std::uint64_t offset)
+{
+    client.append(batch); // -> Inbox::appendAnswers
+    client.readFrom(offset); // -> Inbox::logReads; one at a time, asked again after each answer
+};
+
+/** Exchanges orders and reports with workers. */
+template<typename T>
+concept WorkerClient = requires(T &client, const WorkerSync &sync)
+{
+    client.sync(sync); // -> Inbox::workerReports
+};
+
+/** Reads the platform's host list. */
+template<typename T>
+concept HostList = requires(T &client)
+{
+    client.readHosts(); // -> Inbox::hostLists
+};
+
+/** Talks to other daemons. */
+template<typename T>
+concept PeerChannel = requires(T &channel, const std::string &address, const Heartbeat &heartbeat, std::uint64_t offset)
+{
+    channel.sendHeartbeat(address, heartbeat); // -> the peer's Inbox::heartbeats
+    channel.fetchRecords(address, offset); // -> Inbox::peerReads
+};
+
+/** Hands answers back to callers. */
+template<typename T>
+concept AnswerSink = requires(T &sink, const CallerAnswer &answer)
+{
+    sink.answer(answer);
+};
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/request_type.h
@@ -0,0 +1,66 @@
+/** @file request_type.h Ids that callers give to their requests. */
+#pragma once
+
+#include "core/table.h"
+#include "core/time_type.h"
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <cstring>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace flamingotally
+{
+
+struct RequestTag;
+using RequestRef = Ref<RequestTag>;
+
+/** Id of a request: a UUID of version 7, so it carries its time of issue. All zero when not set. */
+struct RequestId {
+    std::array<std::uint8_t, 16> bytes{}; ///< The UUID in network order.
+
+    friend auto operator<=>(const RequestId &, const RequestId &) = default;
+
+    bool isSet() const
+    {
+        return bytes != std::array<std::uint8_t, 16>{};
+    }
+
+    /** Time of issue by the caller's wall clock. */
+    WallTime issuedAt() const;
+
+    template<typename Visitor>
+    void fields(Visitor &&visitor)
+    {
+        visitor(bytes);
+    }
+
+    template<typename H>
+    friend H AbslHashValue(H state, const RequestId &id)
+    {
+        return H::combine(std::move(state), id.bytes);
+    }
+};
+
+/**
+ * Parses a UUID of version 7.
+ * @param text 36 characters, hexadecimal with hyphens.
+ * @return The id, or nothing when the text is something else.
+ */
+std::optional<RequestId> parseRequestId(std::string_view text);
+
+/** Writes an id in the form that parseRequestId() takes. */
+std::string toString(const RequestId &id);
+
+/**
+ * Makes an id.
+ * @param issuedAt Time of issue.
+ * @param high Random bits; the upper 12 are used beside the time.
+ * @param low Random bits.
+ */
+RequestId makeRequestId(WallTime issuedAt, std::uint64_t high, std::uint64_t low);
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/runtime.h
@@ -0,0 +1,47 @@
+/** @file runtime.h One daemon's tick between its ports: empties outboxes into them. */
+#pragma once
+
+#include "ports.h"
+#include "systems/systems.h"
+
+#include <utility>
+
+namespace flamingotally
+{
+
+/**
+ * Runs one tick and hands what it decided to the ports. The caller has filled the inboxes.
+ * @param node The daemon.
+ * @param clock Read once.
+ * @param log,workers,hosts,peers,answers The ports.
+ */
+template<Clock ClockT, LogClient LogT, WorkerClient WorkersT, HostList HostsT, PeerChannel PeersT, AnswerSink AnswersT>
+void runTick(
+    Node &node, const ClockT &clock, LogT &log, WorkersT &workers, HostsT &hosts, PeersT &peers, AnswersT &answers)
+{
+    tick(node, TickTime{clock.now(), clock.wallNow()});
+    Outbox out = std::exchange(node.outbox, Outbox{});
+    if (out.append) {
+        log.append(*out.append);
+    }
+    if (out.readFrom) {
+        log.readFrom(*out.readFrom);
+    }
+    for (const auto &it : out.workerSyncs) {
+        workers.sync(it);
+    }
+    if (out.readHosts) {
+        hosts.readHosts();
+    }
+    for (const auto &[address, heartbeat] : out.heartbeats) {
+        peers.sendHeartbeat(address, heartbeat);
+    }
+    for (const auto &[address, fromOffset] : out.recordFetches) {
+        peers.fetchRecords(address, fromOffset);
+    }
+    for (const auto &it : out.answers) {
+        answers.answer(it);
+    }
+}
+
+} // namespace flamingotally
