--- a/src/core/enum_table.h
+++ b/src/core/enum_table.h
@@ -47,6 +47,13 @@
     return table[static_cast<std::size_t>(value)];
 }
 
+/** Name of a value. */
+template<typename E, typename Row, std::size_t N>
+constexpr std::string_view nameOf(const std::array<Row, N> &table, E value)
+{
+    return rowOf(table, value).name;
+}
+
 /**
  * Finds the value that bears a name.
  * @param table The table to search.
