--- a/src/codec/cereal_codec.h
+++ b/src/codec/cereal_codec.h
@@ -7,6 +7,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -32,6 +33,20 @@
 /** Decodes the replicated tables and makes their lookups. */
 absl::StatusOr<Tables> decodeTables(std::string_view bytes);
 
+/** The `SnapshotCodec` of the daemons. */
+struct CerealSnapshotCodec {
+    static std::string encode(const Tables &tables)
+    {
+        return encodeTables(tables);
+    }
+
+    static std::optional<Tables> decode(std::string_view bytes)
+    {
+        auto tables = decodeTables(bytes);
+        return tables.ok() ? std::optional<Tables>(*std::move(tables)) : std::nullopt;
+    }
+};
+
 /** Encodes a heartbeat, without its authentication. */
 std::string encodeHeartbeat(const Heartbeat &heartbeat);
 
--- a/src/message_type.h
+++ b/src/message_type.h
@@ -90,6 +90,7 @@
     std::vector<ReportedEnd> ends; ///< All that were not acknowledged yet.
     std::vector<AttemptNumber> active; ///< All attempts that run there.
     std::vector<ReportedUsage> usage;
+    bool waited = false; ///< Answers an exchange that had a wait. Filled in by the port, also when it failed.
     bool failed = false; ///< The worker gave no answer; all but its name is void.
 };
 
@@ -104,11 +105,17 @@
     std::uint64_t digest = 0; ///< Digest of its tables at that offset.
     bool leaving = false;
     bool readsLog = false; ///< Whether it reads the log itself at the moment.
+    Milliseconds sentAt{0}; ///< Sender's monotonic clock. Means something to the sender only, who gets it back.
+    std::uint64_t echoIncarnation = 0; ///< Incarnation that sent the last heartbeat heard from the addressee...
+    Milliseconds echoSentAt{0}; ///< ... its sending time, as written there...
+    Milliseconds echoHeld{0}; ///< ... and how long ago it arrived. A late heartbeat so shows its age.
+    std::uint64_t snapshotRecord = 0; ///< Offset of the record that begins the newest complete snapshot; zero for none.
 
     template<typename Visitor>
     void fields(Visitor &&visitor)
     {
         visitor(daemon, incarnation, head, headAge, appliedOffset, digestOffset, digest, leaving, readsLog);
+        visitor(sentAt, echoIncarnation, echoSentAt, echoHeld, snapshotRecord);
     }
 };
 
--- a/src/node_base.h
+++ b/src/node_base.h
@@ -15,6 +15,19 @@
 namespace flamingotally
 {
 
+/** The tables at one offset, encoded for the log. */
+struct EncodedSnapshot {
+    std::uint64_t offset = 0;
+    std::uint64_t digest = 0; ///< Digest of the tables at that offset.
+    std::string bytes;
+};
+
+/** Tables that were decoded from a snapshot. */
+struct DecodedSnapshot {
+    std::uint64_t offset = 0;
+    std::optional<Tables> tables; ///< Unset when the bytes are no tables.
+};
+
 /** What arrived since the last tick. Network code fills it. */
 struct Inbox {
     std::vector<LogRead> logReads;
@@ -24,6 +37,8 @@
     std::vector<ReceivedHeartbeat> heartbeats;
     std::vector<HostListRead> hostLists;
     std::vector<CallerRequest> callerRequests;
+    std::optional<EncodedSnapshot> encodedSnapshot;
+    std::optional<DecodedSnapshot> decodedSnapshot;
 };
 
 /** A heartbeat on its way out. */
@@ -47,6 +62,8 @@
     std::vector<RecordFetch> recordFetches;
     std::vector<CallerAnswer> answers;
     bool readHosts = false;
+    bool encodeSnapshot = false; ///< Encode the tables as they are after this tick.
+    std::optional<EncodedSnapshot> decodeSnapshot; ///< Decode this into tables.
 };
 
 struct ProposalTag;
@@ -95,6 +112,9 @@
     std::uint64_t digest = 0;
     bool leaving = false;
     bool readsLog = false;
+    Milliseconds sentAt{0}; ///< Sending time of its last heartbeat, to be echoed.
+    std::uint64_t snapshotRecord = 0; ///< Where it knows a complete snapshot to begin.
+    std::uint64_t comparedOffset = 0; ///< Last of its digests that was compared.
 };
 
 using PeerTable = Table<PeerTag, Peer>;
@@ -114,7 +134,12 @@
     MonotonicTime heardAt{}; ///< Arrival of its last report.
     MonotonicTime unreachableSince{}; ///< First failure since; zero when the last exchange succeeded.
     MonotonicTime polledAt{}; ///< When the exchange that waits was sent.
+    MonotonicTime orderedAt{}; ///< When the exchange that carries orders was sent.
+    MonotonicTime nextTryAt{}; ///< After a failure: no exchange before this.
+    std::uint32_t failures = 0; ///< Exchanges failed in a row.
     bool polling = false; ///< An exchange that waits is under way.
+    bool ordering = false; ///< An exchange that carries orders is under way.
+    bool owned = false; ///< Whether this daemon owned the worker at the last tick.
     std::uint64_t ackedReport = 0; ///< Ends up to this number are in the log.
     bool listed = false; ///< On the last host list.
     bool leaving = false; ///< Marked as leaving there.
@@ -130,13 +155,12 @@
 struct AttemptLink {
     AttemptNumber attempt = 0;
     bool confirmed = false; ///< The worker reported it as running.
-    bool endProposed = false; ///< Its end is in a proposal.
+    ProposalRef endProposal; ///< Proposal of its end; unset or gone when there is none under way.
+    ProposalRef lapseProposal; ///< Proposal of its lapsing mark or of the confirmation.
     MonotonicTime startSentAt{}; ///< Last start order.
     MonotonicTime renewedAt{}; ///< Last renewal.
     MonotonicTime stopSentAt{}; ///< Last stop order.
     MonotonicTime lapsingReadAt{}; ///< When this daemon read the lapsing mark.
-    MonotonicTime lapseProposedAt{}; ///< Last proposal of a mark or confirmation.
-    std::uint64_t report = 0; ///< Number of the worker's report of its end.
     Resources usage; ///< Last reported usage.
 };
 
@@ -157,8 +181,20 @@
 
 using WaiterTable = Table<WaiterTag, Waiter>;
 
+/** Proof of where the log ended. */
+struct HeadEvidence {
+    std::uint64_t head = 0; ///< The log ended here...
+    MonotonicTime provenAt{}; ///< ... at this time or later.
+};
+
 /** How much this daemon knows of the log's end. */
 struct View {
+    HeadEvidence newest; ///< Latest proof from any source.
+    std::deque<HeadEvidence> pending; ///< Proofs of ends that are not applied up to yet, oldest first.
+    std::uint64_t firstKept = 0; ///< Oldest offset that the log still keeps.
+    std::uint32_t failedReads = 0; ///< Reads failed in a row.
+    MonotonicTime nextReadAt{}; ///< After a failure: no read before this.
+    MonotonicTime fetchedAt{}; ///< When records were last asked of a peer.
     std::uint64_t knownHead = 0; ///< Highest end of the log known from any source.
     MonotonicTime freshAt{}; ///< Latest time at which all records that existed were applied here.
     MonotonicTime lastReadAt{}; ///< When the log last answered a read.
@@ -185,6 +221,50 @@
     std::uint64_t digestMismatches = 0;
     std::uint64_t snapshotsLoaded = 0;
     std::uint64_t snapshotsWritten = 0;
+    std::uint64_t snapshotsRefused = 0; ///< Malformed, of a wrong digest, or contradicted by peers.
+};
+
+/** Digest of the tables at an offset. */
+struct TableDigest {
+    std::uint64_t offset = 0;
+    std::uint64_t digest = 0;
+};
+
+/** What loading a snapshot waits for. */
+enum class LoadPhase : std::uint8_t {
+    None, ///< Tables are usable: records are applied as they come.
+    Seeking, ///< Collects the parts of snapshots from the log.
+    Decoding, ///< A complete one is being decoded.
+    End,
+};
+
+/** Parts of one snapshot, as collected from the log. */
+struct SnapshotParts {
+    std::uint64_t offset = 0; ///< The tables were at this offset.
+    std::uint64_t digest = 0;
+    std::uint64_t firstRecord = 0; ///< Offset of the record that held its first part.
+    std::uint32_t count = 0;
+    std::uint32_t found = 0;
+    std::vector<std::string> parts;
+};
+
+/** Writing and loading of snapshots. */
+struct SnapshotWork {
+    LoadPhase phase = LoadPhase::None;
+    std::vector<SnapshotParts> collected; ///< While seeking: snapshots with any part found.
+    std::vector<std::uint64_t> refused; ///< Offsets of snapshots that were refused.
+    std::uint64_t seekFrom = 0; ///< Where the seeking began.
+    std::uint64_t seekNext = 0; ///< Next offset to read while seeking.
+    std::uint64_t seekEnd = 0; ///< Where it ends.
+    std::uint64_t loadedOffset = 0; ///< Offset of the snapshot that was loaded; zero for none.
+    bool confirmed = true; ///< Whether a peer's digest has confirmed what was loaded.
+    MonotonicTime loadedAt{};
+    std::uint64_t newestRecord = 0; ///< Offset of the record that begins the newest complete snapshot.
+    std::uint64_t newestOffset = 0; ///< Offset of its tables.
+    SnapshotParts passing; ///< Parts counted as they pass, without their bytes.
+    std::deque<SnapshotChunk> toPropose; ///< Parts of the own snapshot that wait for the log.
+    ProposalRef proposal; ///< Part that is under way.
+    std::uint64_t bytes = 0; ///< Size of the last own one.
 };
 
 /** Life of the process. */
@@ -228,9 +308,12 @@
     MonotonicTime heartbeatSentAt{};
     MonotonicTime hostsReadAt{};
     MonotonicTime snapshotAt{};
-    bool joinProposed = false;
-    std::uint64_t digestOffset = 0; ///< Offset of the last own digest.
-    std::uint64_t digest = 0;
+    ProposalRef joinProposal; ///< Proposal to join; unset or gone when there is none under way.
+    std::vector<HostRow> hosts; ///< Host list as last read, ordered by name.
+    MonotonicTime hostsHeardAt{}; ///< When it last arrived; zero before the first time.
+    absl::flat_hash_map<std::string, ProposalRef> hostProposals; ///< Proposals that the host list led to, by host.
+    std::deque<TableDigest> digests; ///< Own digests of late, oldest first.
+    SnapshotWork snapshot;
 };
 
 } // namespace flamingotally
--- a/src/ports.h
+++ b/src/ports.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "message_type.h"
+#include "tables.h"
 
 #include <concepts>
 
@@ -53,6 +54,18 @@
     channel.fetchRecords(address, offset); // -> Inbox::peerReads
 };
 
+/** Turns the replicated tables into bytes and back. The only port that answers at once. */
+template<typename T>
+concept SnapshotCodec = requires(const Tables &tables, std::string_view bytes)
+{
+    {
+        T::encode(tables)
+        } -> std::same_as<std::string>;
+    {
+        T::decode(bytes)
+        } -> std::same_as<std::optional<Tables>>;
+};
+
 /** Hands answers back to callers. */
 template<typename T>
 concept AnswerSink = requires(T &sink, const CallerAnswer &answer)
