--- /dev/null
+++ b/src/net/log_line.cpp
@@ -0,0 +1,85 @@
+#include "net/log_line.h"
+
+#include "core/error.h"
+#include "net/clock.h"
+#include "table/log_table.h"
+#include "table/step_table.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace flamingotally
+{
+
+namespace
+{
+
+constexpr std::int64_t millisecondsPerSecond = 1'000;
+
+bool isPlain(char c)
+{
+    return c > ' ' && c != '"' && c != '\\' && c != '=' && c != '\x7f';
+}
+
+std::string escaped(std::string_view value)
+{
+    if (!value.empty() && std::ranges::all_of(value, isPlain)) {
+        return std::string(value);
+    }
+    std::string text = "\"";
+    for (const char c : value) {
+        if (c == '"' || c == '\\') {
+            text += '\\';
+            text += c;
+        } else if (static_cast<unsigned char>(c) < ' ' || c == '\x7f') {
+            text += fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
+        } else {
+            text += c;
+        }
+    }
+    return text + '"';
+}
+
+void addPair(std::string &text, std::string_view key, std::string_view value)
+{
+    text += fmt::format(" {}={}", key, escaped(value));
+}
+
+} // namespace
+
+std::string formatLogLine(WallTime at, const LogLine &line, std::initializer_list<LogField> fields)
+{
+    const auto milliseconds = at.time_since_epoch().count();
+    const auto seconds = fmt::gmtime(static_cast<std::time_t>(milliseconds / millisecondsPerSecond));
+    auto text = fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z", seconds, milliseconds % millisecondsPerSecond);
+    addPair(text, "level", nameOf(logLevelTable, line.level));
+    if (line.step != Step::End) {
+        addPair(text, "step", nameOf(stepTable, line.step));
+    }
+    if (!line.peer.empty()) {
+        addPair(text, "peer", line.peer);
+    }
+    addPair(text, "message", line.message);
+    for (const auto &[key, value] : fields) {
+        addPair(text, key, value);
+    }
+    return text;
+}
+
+void Logger::write(const LogLine &line, std::initializer_list<LogField> fields) const
+{
+    if (line.level >= m_least) {
+        fmt::print(stderr, "{}\n", formatLogLine(SystemClock().wallNow(), line, fields));
+    }
+}
+
+void Logger::write(LogLevel level, const absl::Status &error, std::initializer_list<LogField> fields) const
+{
+    const auto peer = peerOf(error);
+    write(LogLine{level, stepOf(error), peer, std::string_view(error.message().data(), error.message().size())},
+          fields);
+}
+
+} // namespace flamingotally
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/time_type.h"
+#include "log_type.h"
 
 #include <cstdint>
 #include <string>
@@ -19,7 +20,7 @@
     std::string hostListAddress = "127.0.0.1:7070"; ///< The platform's host list.
     std::string clusterSecret; ///< Shared secret that authenticates peers.
     std::string operatorKeyDigest; ///< SHA-256 of the bootstrap operator's key, 64 hexadecimal digits.
-    std::string logLevel = "info"; ///< Least level that is logged: debug, info, warning, error.
+    LogLevel logLevel = LogLevel::Info; ///< Least level that is logged.
 
     Milliseconds fence{3'000}; ///< Age of the view beyond which nothing is accepted or started.
     Milliseconds startSlack{1'000}; ///< How long after the freshness check a start may arrive.
--- a/src/table/profile_table.h
+++ b/src/table/profile_table.h
@@ -15,12 +15,22 @@
 }};
 static_assert(isComplete(workKindTable));
 
+constexpr const auto &namesOf(WorkKind)
+{
+    return workKindTable;
+}
+
 constexpr EnumTable<QueueAccess> queueAccessTable{{
     {QueueAccess::Keyed, "keyed"},
     {QueueAccess::Open, "open"},
 }};
 static_assert(isComplete(queueAccessTable));
 
+constexpr const auto &namesOf(QueueAccess)
+{
+    return queueAccessTable;
+}
+
 constexpr EnumTable<Urgency> urgencyTable{{
     {Urgency::Urgent, "urgent"},
     {Urgency::Normal, "normal"},
@@ -28,12 +38,22 @@
 }};
 static_assert(isComplete(urgencyTable));
 
+constexpr const auto &namesOf(Urgency)
+{
+    return urgencyTable;
+}
+
 constexpr EnumTable<CutOffRule> cutOffRuleTable{{
     {CutOffRule::Keep, "keep"},
     {CutOffRule::Move, "move"},
 }};
 static_assert(isComplete(cutOffRuleTable));
 
+constexpr const auto &namesOf(CutOffRule)
+{
+    return cutOffRuleTable;
+}
+
 constexpr EnumTable<Spread> spreadTable{{
     {Spread::None, "none"},
     {Spread::Racks, "racks"},
@@ -41,4 +61,9 @@
 }};
 static_assert(isComplete(spreadTable));
 
+constexpr const auto &namesOf(Spread)
+{
+    return spreadTable;
+}
+
 } // namespace flamingotally
--- a/src/table/team_table.h
+++ b/src/table/team_table.h
@@ -13,4 +13,9 @@
 }};
 static_assert(isComplete(keyRoleTable));
 
+constexpr const auto &namesOf(KeyRole)
+{
+    return keyRoleTable;
+}
+
 } // namespace flamingotally
