Apply every command: test against the tables, then execute

Each record kind has one apply() that tests against the tables at its offset and executes only what passed, so capacity, team limits, keys, domain and worker service, request ids and versions hold whoever raced. Gangs are placed by one command or not at all; a member that must start again stops the rest. SetDomain now names the version its author saw, so that a late copy of an earlier change cannot revert a newer one.

--- /dev/null
+++ b/src/attempt.cpp
@@ -0,0 +1,239 @@
+#include "attempt_func.h"
+#include "job_func.h"
+
+#include <algorithm>
+
+namespace flamingotally
+{
+
+namespace
+{
+
+/** Further attempts of idempotent work whose attempts were lost with their worker, on top of its retries. */
+constexpr std::uint32_t extraAttemptsWhenLost = 8;
+
+Reason testWorker(const Tables &tables, WorkerRef worker)
+{
+    if (!tables.workers.contains(worker)) {
+        return Reason::WorkerUnknown;
+    }
+    const auto domain = tables.workers.get<WorkerPlace>(worker).domain;
+    if (tables.domains.get<DomainState>(domain).service == DomainService::Out) {
+        return Reason::DomainOutOfService;
+    }
+    switch (tables.workers.get<WorkerState>(worker).service) {
+    case WorkerService::Leaving:
+        return Reason::WorkerLeaving;
+    case WorkerService::SetAside:
+        return tables.workers.get<WorkerRoom>(worker).attempts > 0 ? Reason::WorkerSetAside : Reason::None;
+    default:
+        return Reason::None;
+    }
+}
+
+Reason testTask(const Tables &tables, TaskRef task, const PlacementScratch &scratch)
+{
+    if (!tables.tasks.contains(task)) {
+        return Reason::TaskUnknown;
+    }
+    const bool isWaiting = tables.tasks.get<TaskState>(task).phase == TaskPhase::Waiting;
+    return isWaiting && !scratch.byTask.contains(task.index) ? Reason::None : Reason::TaskNotWaiting;
+}
+
+Resources takenOf(const absl::flat_hash_map<std::uint32_t, Resources> &taken, std::uint32_t index)
+{
+    const auto it = taken.find(index);
+    return it == taken.end() ? Resources{} : it->second;
+}
+
+/** What an ended attempt means for its task. */
+enum class NextStep : std::uint8_t {
+    End,
+    WaitAgain,
+    Retry, ///< Wait again, after a pause.
+};
+
+bool mayRunAgain(const ProfileSpec &treatment, const TaskState &task, Outcome outcome)
+{
+    if (treatment.kind == WorkKind::Service) {
+        return true;
+    }
+    if (!treatment.idempotent) {
+        return false;
+    }
+    if (outcome == Outcome::Lost) {
+        return task.attempts <= treatment.maxRetries + extraAttemptsWhenLost;
+    }
+    return task.failures <= treatment.maxRetries;
+}
+
+NextStep nextStepOf(const ProfileSpec &treatment, const TaskState &task, StopCause stop, Outcome outcome)
+{
+    switch (outcome) {
+    case Outcome::Succeeded:
+        return treatment.kind == WorkKind::Service ? NextStep::Retry : NextStep::End;
+    case Outcome::NeverStarted:
+    case Outcome::Checkpointed:
+        return NextStep::WaitAgain;
+    case Outcome::Cancelled: {
+        const bool wasMoved = stop == StopCause::Drained || stop == StopCause::Preempted;
+        return wasMoved && treatment.idempotent ? NextStep::WaitAgain : NextStep::End;
+    }
+    default:
+        return mayRunAgain(treatment, task, outcome) ? NextStep::Retry : NextStep::End;
+    }
+}
+
+/** Outcome of a task whose last attempt ended in a way that the task itself cannot end in. */
+Outcome taskOutcomeOf(Outcome outcome, StopCause stop, bool isCancelled)
+{
+    if (outcome == Outcome::Succeeded) {
+        return outcome;
+    }
+    if (isCancelled) {
+        return Outcome::Cancelled;
+    }
+    return outcome == Outcome::Cancelled && stop == StopCause::Overrun ? Outcome::Failed
+        : outcome == Outcome::Cancelled                                ? Outcome::Lost
+                                                                       : outcome;
+}
+
+/** Counts an end for or against its worker. */
+void noteWorkerHealth(Tables &tables, WorkerRef worker, Outcome outcome)
+{
+    if (outcome != Outcome::Succeeded && outcome != Outcome::Failed) {
+        return;
+    }
+    auto &state = tables.workers.get<WorkerState>(worker);
+    ++state.recentEnds;
+    if (outcome == Outcome::Failed) {
+        ++state.recentFailures;
+    }
+    if (state.recentEnds >= limits::healthWindowEnds) {
+        state.recentEnds /= 2;
+        state.recentFailures /= 2;
+    }
+}
+
+void freeWhatWasHeld(Tables &tables, TaskRef task, WorkerRef worker, const Resources &held)
+{
+    auto &room = tables.workers.get<WorkerRoom>(worker);
+    room.used -= held;
+    --room.attempts;
+    const auto job = tables.tasks.get<TaskIdentity>(task).job;
+    tables.teams.get<TeamUse>(tables.jobs.get<JobIdentity>(job).team).running -= held;
+}
+
+/** Stops the other members of a gang that has lost one: they wait until all can start at once again. */
+void stopRestOfGang(Tables &tables, JobRef job)
+{
+    for (const auto it : tables.jobs.get<JobState>(job).tasks) {
+        const auto &state = tables.tasks.get<TaskState>(it);
+        if (state.phase != TaskPhase::Placed) {
+            continue;
+        }
+        auto &attempt = tables.attempts.get<AttemptState>(state.attempt);
+        if (attempt.stop == StopCause::None) {
+            attempt.stop = StopCause::Preempted;
+        }
+    }
+}
+
+} // namespace
+
+Reason testPlacement(const Tables &tables, const Placement &placement, const PlacementScratch &scratch)
+{
+    if (const auto reason = testTask(tables, placement.task, scratch); reason != Reason::None) {
+        return reason;
+    }
+    if (const auto reason = testWorker(tables, placement.worker); reason != Reason::None) {
+        return reason;
+    }
+    const auto jobRef = tables.tasks.get<TaskIdentity>(placement.task).job;
+    const auto &need = tables.jobs.get<JobSpec>(jobRef).perTask;
+    const auto &room = tables.workers.get<WorkerRoom>(placement.worker);
+    if (!need.fitsInto(room.free() - takenOf(scratch.byWorker, placement.worker.index))) {
+        return Reason::WorkerFull;
+    }
+    const auto team = tables.jobs.get<JobIdentity>(jobRef).team;
+    const auto running = tables.teams.get<TeamUse>(team).running + takenOf(scratch.byTeam, team.index);
+    return (running + need).fitsInto(tables.teams.get<TeamPolicy>(team).limit) ? Reason::None : Reason::TeamLimit;
+}
+
+void takePlacement(const Tables &tables, const Placement &placement, PlacementScratch &scratch)
+{
+    const auto jobRef = tables.tasks.get<TaskIdentity>(placement.task).job;
+    const auto &need = tables.jobs.get<JobSpec>(jobRef).perTask;
+    scratch.byWorker[placement.worker.index] += need;
+    scratch.byTeam[tables.jobs.get<JobIdentity>(jobRef).team.index] += need;
+    ++scratch.byTask[placement.task.index];
+}
+
+void beginAttempt(Tables &tables, const RecordContext &context, const Placement &placement)
+{
+    const auto jobRef = tables.tasks.get<TaskIdentity>(placement.task).job;
+    const auto need = tables.jobs.get<JobSpec>(jobRef).perTask;
+    const auto number = tables.position.nextAttempt++;
+    const auto bootId = tables.workers.get<WorkerIdentity>(placement.worker).bootId;
+    AttemptState state;
+    state.held = need;
+    state.placedAt = context.time;
+    const auto attempt = tables.attempts.insert({number, placement.task, placement.worker, bootId}, state);
+    tables.lookups.attempts[number] = attempt;
+
+    auto &task = tables.tasks.get<TaskState>(placement.task);
+    task.phase = TaskPhase::Placed;
+    task.attempt = attempt;
+    ++task.attempts;
+
+    auto &job = tables.jobs.get<JobState>(jobRef);
+    --job.waiting;
+    ++job.placed;
+
+    auto &room = tables.workers.get<WorkerRoom>(placement.worker);
+    room.used += need;
+    ++room.attempts;
+
+    auto &use = tables.teams.get<TeamUse>(tables.jobs.get<JobIdentity>(jobRef).team);
+    use.running += need;
+    --use.waitingTasks;
+}
+
+void endAttempt(Tables &tables, const RecordContext &context, AttemptRef attempt, const AttemptEnd &end)
+{
+    const auto identity = tables.attempts.get<AttemptIdentity>(attempt);
+    const auto state = tables.attempts.get<AttemptState>(attempt);
+    freeWhatWasHeld(tables, identity.task, identity.worker, state.held);
+    tables.lookups.attempts.erase(identity.number);
+    tables.attempts.erase(attempt);
+
+    auto &task = tables.tasks.get<TaskState>(identity.task);
+    const auto job = tables.tasks.get<TaskIdentity>(identity.task).job;
+    const auto &treatment = tables.jobs.get<JobSpec>(job).treatment;
+    const bool isCancelled = tables.jobs.get<JobState>(job).cancelled;
+    if (end.outcome == Outcome::NeverStarted) {
+        --task.attempts;
+    }
+    if (end.outcome == Outcome::Failed && state.stop == StopCause::None) {
+        ++task.failures;
+        task.lastFailedOn = identity.worker;
+        noteWorkerHealth(tables, identity.worker, end.outcome);
+    }
+    if (end.outcome == Outcome::Succeeded) {
+        noteWorkerHealth(tables, identity.worker, end.outcome);
+        tables.tasks.get<TaskResult>(identity.task) = end.result;
+    }
+    const auto step = nextStepOf(treatment, task, state.stop, end.outcome);
+    if (isCancelled || step == NextStep::End) {
+        endTask(tables, context, identity.task, taskOutcomeOf(end.outcome, state.stop, isCancelled));
+        return;
+    }
+    const auto pause =
+        step == NextStep::Retry ? retryPause(treatment, task.failures, identity.number) : Milliseconds{0};
+    returnTask(tables, context, identity.task, pause);
+    if (treatment.kind == WorkKind::Gang) {
+        stopRestOfGang(tables, job);
+    }
+}
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/attempt_cmd.cpp
@@ -0,0 +1,221 @@
+#include "attempt_cmd.h"
+
+#include "attempt_func.h"
+#include "config_func.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+
+namespace flamingotally
+{
+
+namespace
+{
+
+/** Which gangs a command places whole. */
+class GangCover
+{
+public:
+    GangCover(const Tables &tables, const PlaceTasks &command) : m_tables(tables), m_allOrNone(command.allOrNone)
+    {
+        for (const auto &it : command.placements) {
+            m_placed.insert(it.task.index);
+        }
+    }
+
+    /** Tells whether every member of a job that has not ended is placed by the command. */
+    bool isWhole(JobRef job)
+    {
+        if (!m_allOrNone) {
+            return false;
+        }
+        const auto [it, isNew] = m_wholeByJob.try_emplace(job.index, false);
+        if (isNew) {
+            it->second = std::ranges::all_of(m_tables.jobs.get<JobState>(job).tasks, [this](TaskRef task) {
+                return m_tables.tasks.get<TaskState>(task).phase == TaskPhase::Ended || m_placed.contains(task.index);
+            });
+        }
+        return it->second;
+    }
+
+private:
+    const Tables &m_tables;
+    bool m_allOrNone;
+    absl::flat_hash_set<std::uint32_t> m_placed; ///< By index of the task.
+    absl::flat_hash_map<std::uint32_t, bool> m_wholeByJob; ///< By index of the job.
+};
+
+/** Judges one placement, its gang included. */
+Reason testMember(const Tables &tables, const Placement &placement, const PlacementScratch &scratch, GangCover &cover)
+{
+    if (const auto reason = testPlacement(tables, placement, scratch); reason != Reason::None) {
+        return reason;
+    }
+    const auto job = tables.tasks.get<TaskIdentity>(placement.task).job;
+    const bool isGang = tables.jobs.get<JobSpec>(job).treatment.kind == WorkKind::Gang;
+    return isGang && !cover.isWhole(job) ? Reason::GangIncomplete : Reason::None;
+}
+
+/** Tells whether the proposer stands in the failure domain of an attempt's worker. */
+bool isOfSameDomain(const Tables &tables, DaemonRef proposer, WorkerRef worker)
+{
+    return tables.daemons.contains(proposer)
+        && tables.daemons.get<DaemonIdentity>(proposer).domain == tables.workers.get<WorkerPlace>(worker).domain;
+}
+
+/** The treatment of an attempt's job. */
+const ProfileSpec &treatmentOf(const Tables &tables, AttemptRef attempt)
+{
+    const auto task = tables.attempts.get<AttemptIdentity>(attempt).task;
+    return tables.jobs.get<JobSpec>(tables.tasks.get<TaskIdentity>(task).job).treatment;
+}
+
+/** Judges whether a proposer may end a lease from outside the worker. */
+Reason testLapse(const Tables &tables, const RecordContext &context, AttemptRef attempt)
+{
+    if (treatmentOf(tables, attempt).whenCutOff == CutOffRule::Move) {
+        return Reason::None;
+    }
+    const auto worker = tables.attempts.get<AttemptIdentity>(attempt).worker;
+    return isOfSameDomain(tables, context.proposer, worker) ? Reason::None : Reason::LeaseKept;
+}
+
+Reason testStop(const Tables &tables, const RecordContext &context, AttemptRef attempt, StopCause cause)
+{
+    const auto &treatment = treatmentOf(tables, attempt);
+    switch (cause) {
+    case StopCause::Preempted:
+        return treatment.checkpoint ? Reason::None : Reason::AttemptNotStoppable;
+    case StopCause::Drained: {
+        const bool mayMove = treatment.checkpoint || treatment.kind == WorkKind::Service;
+        return mayMove ? Reason::None : Reason::AttemptNotStoppable;
+    }
+    case StopCause::Overrun: {
+        const auto placedAt = tables.attempts.get<AttemptState>(attempt).placedAt;
+        const bool isOver = treatment.maxRun > Milliseconds::zero() && context.time >= placedAt + treatment.maxRun;
+        return isOver ? Reason::None : Reason::AttemptNotStoppable;
+    }
+    default:
+        return Reason::AttemptNotStoppable;
+    }
+}
+
+/**
+ * Runs a test and a function over each attempt that a command names, and counts the results.
+ * @param test Called with the attempt, gives a Reason.
+ * @param execute Called with the attempt when it passed and the phase says so.
+ */
+template<typename Test, typename Execute>
+CommandResult
+forEachAttempt(Tables &tables, const std::vector<AttemptNumber> &numbers, Phase phase, Test &&test, Execute &&execute)
+{
+    CommandResult result;
+    for (const auto number : numbers) {
+        const auto attempt = findRef(tables.lookups.attempts, number);
+        const auto reason = attempt.isSet() ? test(attempt) : Reason::AttemptUnknown;
+        if (reason != Reason::None) {
+            result.partReason = reason;
+            ++result.rejected;
+            continue;
+        }
+        ++result.accepted;
+        if (phase == Phase::Execute) {
+            execute(attempt);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+CommandResult apply(Tables &tables, const RecordContext &context, const PlaceTasks &command, Phase phase)
+{
+    CommandResult result;
+    PlacementScratch scratch;
+    GangCover cover(tables, command);
+    std::vector<Placement> passed;
+    for (const auto &it : command.placements) {
+        if (const auto reason = testMember(tables, it, scratch, cover); reason != Reason::None) {
+            result.partReason = reason;
+            ++result.rejected;
+            continue;
+        }
+        takePlacement(tables, it, scratch);
+        passed.push_back(it);
+    }
+    if (command.allOrNone && result.rejected > 0) {
+        result.reason = Reason::GangIncomplete;
+        result.rejected = static_cast<std::uint32_t>(command.placements.size());
+        return result;
+    }
+    result.accepted = static_cast<std::uint32_t>(passed.size());
+    if (phase == Phase::Execute) {
+        for (const auto &it : passed) {
+            beginAttempt(tables, context, it);
+        }
+    }
+    return result;
+}
+
+CommandResult apply(Tables &tables, const RecordContext &context, const EndAttempts &command, Phase phase)
+{
+    CommandResult result;
+    for (const auto &it : command.ends) {
+        const auto attempt = findRef(tables.lookups.attempts, it.attempt);
+        if (!attempt.isSet()) {
+            result.partReason = Reason::AttemptUnknown;
+            ++result.rejected;
+            continue;
+        }
+        ++result.accepted;
+        if (phase == Phase::Execute) {
+            endAttempt(tables, context, attempt, it);
+        }
+    }
+    return result;
+}
+
+CommandResult apply(Tables &tables, const RecordContext &context, const MarkLapsing &command, Phase phase)
+{
+    const auto test = [&](AttemptRef it) {
+        return testLapse(tables, context, it);
+    };
+    const auto execute = [&](AttemptRef it) {
+        auto &state = tables.attempts.get<AttemptState>(it);
+        if (!state.lapsing) {
+            state.lapsing = true;
+            state.lapsingOffset = context.offset;
+        }
+    };
+    return forEachAttempt(tables, command.attempts, phase, test, execute);
+}
+
+CommandResult apply(Tables &tables, const RecordContext &context, const ConfirmLapsed &command, Phase phase)
+{
+    const auto test = [&](AttemptRef it) {
+        const bool isMarked = tables.attempts.get<AttemptState>(it).lapsing;
+        return isMarked ? testLapse(tables, context, it) : Reason::AttemptNotLapsing;
+    };
+    const auto execute = [&](AttemptRef it) {
+        const auto number = tables.attempts.get<AttemptIdentity>(it).number;
+        endAttempt(tables, context, it, {number, Outcome::Lost, {}});
+    };
+    return forEachAttempt(tables, command.attempts, phase, test, execute);
+}
+
+CommandResult apply(Tables &tables, const RecordContext &context, const StopAttempts &command, Phase phase)
+{
+    const auto test = [&](AttemptRef it) {
+        return testStop(tables, context, it, command.cause);
+    };
+    const auto execute = [&](AttemptRef it) {
+        auto &state = tables.attempts.get<AttemptState>(it);
+        if (state.stop == StopCause::None) {
+            state.stop = command.cause;
+        }
+    };
+    return forEachAttempt(tables, command.attempts, phase, test, execute);
+}
+
+} // namespace flamingotally
--- a/src/command_type.h
+++ b/src/command_type.h
@@ -223,11 +223,12 @@
     Author author;
     std::string name;
     DomainService service = DomainService::In;
+    std::uint64_t expectedVersion = 0; ///< Version that the author saw. Admission fills in zero.
 
     template<typename Visitor>
     void fields(Visitor &&visitor)
     {
-        visitor(author, name, service);
+        visitor(author, name, service, expectedVersion);
     }
 };
 
--- a/src/domain_base.h
+++ b/src/domain_base.h
@@ -23,7 +23,7 @@
 /** Whether operators have it in service. */
 struct DomainState {
     DomainService service = DomainService::In;
-    std::uint64_t version = 0; ///< Rises with every change by an operator.
+    std::uint64_t version = 1; ///< Rises with every change by an operator.
     LogTime changedAt{}; ///< When it was last changed.
 
     template<typename Visitor>
--- a/src/history_base.h
+++ b/src/history_base.h
@@ -33,7 +33,7 @@
     std::string author; ///< Label of the operator's key.
     std::uint64_t offset = 0; ///< Offset of the record.
     LogTime at{};
-    std::string detail; ///< Earlier value, for diff and rollback. Empty where there is none.
+    std::string detail; ///< Its text at this version, for diff and rollback. Empty where there is none.
 
     template<typename Visitor>
     void fields(Visitor &&visitor)
--- a/src/worker_base.h
+++ b/src/worker_base.h
@@ -29,7 +29,7 @@
 struct WorkerIdentity {
     std::string name; ///< Unique name from the platform's host list.
     std::string address; ///< "IP:port" of its control endpoint.
-    std::uint64_t bootId = 0; ///< Changes when the worker restarts; all its earlier attempts are dead then.
+    std::uint64_t bootId = 0; ///< Rises when the worker restarts; all its earlier attempts are dead then.
 
     template<typename Visitor>
     void fields(Visitor &&visitor)
