--- a/src/message_type.h
+++ b/src/message_type.h
@@ -54,6 +54,7 @@
     AttemptNumber attempt = 0;
     StopCause cause = StopCause::None;
     bool checkpoint = false; ///< Save progress first.
+    bool onlyBeforeStart = false; ///< Leaves an attempt that runs alone; one that was not started never will be.
 };
 
 /** One exchange with a worker: orders out, a report back. */
--- a/src/node_base.h
+++ b/src/node_base.h
@@ -141,6 +141,8 @@
     bool ordering = false; ///< An exchange that carries orders is under way.
     bool owned = false; ///< Whether this daemon owned the worker at the last tick.
     std::uint64_t ackedReport = 0; ///< Ends up to this number are in the log.
+    std::vector<ReportedEnd> pendingEnds; ///< Reported ends that are not known to be in the log, by rising number.
+    std::vector<AttemptNumber> active; ///< What ran there at the last report.
     bool listed = false; ///< On the last host list.
     bool leaving = false; ///< Marked as leaving there.
     Resources total; ///< What it last reported to have.
@@ -148,6 +150,15 @@
 
 using WorkerLinkTable = Table<WorkerLinkTag, WorkerLink>;
 
+/** When the lease system last went over its tables, so that an idle tick costs nothing. */
+struct LeaseScan {
+    std::vector<WorkerLinkRef> linkOfWorker; ///< By index of the worker; unset for workers that others own.
+    MonotonicTime ownershipAt{}; ///< When ownership was last worked out...
+    std::uint64_t ownershipKey = 0; ///< ... for this set of live daemons and workers.
+    std::uint64_t appliedOffset = 0; ///< Offset at the last scan of attempts.
+    MonotonicTime dueAt{}; ///< When the next scan is due although nothing happened.
+};
+
 struct AttemptLinkTag;
 using AttemptLinkRef = Ref<AttemptLinkTag>;
 
@@ -155,6 +166,7 @@
 struct AttemptLink {
     AttemptNumber attempt = 0;
     bool confirmed = false; ///< The worker reported it as running.
+    bool ended = false; ///< The worker reported its end.
     ProposalRef endProposal; ///< Proposal of its end; unset or gone when there is none under way.
     ProposalRef lapseProposal; ///< Proposal of its lapsing mark or of the confirmation.
     MonotonicTime startSentAt{}; ///< Last start order.
@@ -296,6 +308,7 @@
     std::uint64_t nextSequence = 1;
     PeerTable peers;
     WorkerLinkTable workerLinks;
+    LeaseScan leaseScan;
     AttemptLinkTable attemptLinks;
     WaiterTable waiters;
     absl::flat_hash_map<std::string, WorkerLinkRef> workerLinkByName;
--- a/src/node_func.h
+++ b/src/node_func.h
@@ -3,6 +3,8 @@
 
 #include "node_base.h"
 
+#include <algorithm>
+
 namespace flamingotally
 {
 
@@ -42,6 +44,12 @@
 /** Drops the row for an attempt. */
 void dropAttemptLink(Node &node, AttemptNumber attempt);
 
+/** Has the next tick run no later than the given time. The tick itself sets the latest time first. */
+inline void wakeBy(Node &node, MonotonicTime at)
+{
+    node.nextWake = std::min(node.nextWake, at);
+}
+
 /** Counts a refusal. */
 void countRefusal(Node &node, Reason reason);
 
