Add a world of fakes under a virtual clock

Promises under faults can only be shown when the course of events is in the test's hand. The world runs real daemons over a fake log, workers, host list, network and callers on one event queue; a seed decides every delay and loss.

--- /dev/null
+++ b/tests/fakes/fake_worker.cpp
@@ -0,0 +1,266 @@
+#include "fakes/fake_worker.h"
+
+#include "core/digest.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace flamingotally::fakes
+{
+
+namespace
+{
+constexpr std::size_t inlineBytes = 4'096; ///< Longer answers stay with the worker.
+constexpr Milliseconds usageLag{2'000};
+} // namespace
+
+std::string payloadOf(const Task &task)
+{
+    return fmt::format("{} {} {} {}", task.serial, task.runTime.count(), task.fails ? 1 : 0, task.answerBytes);
+}
+
+Task taskOf(const std::string &payload)
+{
+    Task task;
+    std::int64_t runTime = 0;
+    std::istringstream(payload) >> task.serial >> runTime >> task.fails >> task.answerBytes;
+    task.runTime = Milliseconds{runTime};
+    return task;
+}
+
+std::string wholeAnswerOf(const std::string &payload, std::uint32_t ordinal)
+{
+    std::string answer = fmt::format("{}/{}:", payload, ordinal);
+    answer.resize(std::max(answer.size(), taskOf(payload).answerBytes), '.');
+    return answer;
+}
+
+FakeWorker::FakeWorker(EventQueue &queue, Journal &journal, std::size_t index, HostRow row, Resources total)
+    : m_queue(queue), m_journal(journal), m_index(index), m_row(std::move(row)), m_total(total),
+      m_bootId(1'000 * (index + 1))
+{
+}
+
+WorkerTime FakeWorker::clock() const
+{
+    return WorkerTime{m_queue.now() + clockOffset};
+}
+
+void FakeWorker::sync(const WorkerSync &sync, Reply reply)
+{
+    if (!m_up) {
+        return;
+    }
+    if (m_paused) {
+        m_held.emplace_back(sync, std::move(reply));
+        return;
+    }
+    expire();
+    const auto reportBefore = m_lastReport;
+    const bool rightBoot = sync.bootId == m_bootId;
+    if (rightBoot) {
+        takeOrders(sync);
+    }
+    const bool hasOrders = !sync.starts.empty() || !sync.stops.empty();
+    if (!rightBoot || hasOrders || m_lastReport != reportBefore || sync.wait == Milliseconds{0}) {
+        reply(makeReport());
+        return;
+    }
+    const auto number = m_nextPoll++;
+    m_polls.push_back({number, std::move(reply)});
+    m_queue.after(sync.wait, [this, number] {
+        const auto found = std::ranges::find(m_polls, number, &Poll::number);
+        if (found != m_polls.end() && !m_paused) {
+            const auto expired = *found;
+            m_polls.erase(found);
+            expired.reply(makeReport());
+        }
+    });
+}
+
+void FakeWorker::takeOrders(const WorkerSync &sync)
+{
+    while (!m_ends.empty() && m_ends.front().report <= sync.ackedReport) {
+        m_ends.pop_front();
+    }
+    for (const auto &it : sync.renewals) {
+        if (const auto found = m_active.find(it.attempt); found != m_active.end()) {
+            found->second.leaseUntil = std::max(found->second.leaseUntil, it.leaseUntil);
+            schedule(it.attempt);
+        }
+    }
+    for (const auto &it : sync.stops) {
+        if (m_active.contains(it.attempt)) {
+            end(it.attempt, it.checkpoint ? Outcome::Checkpointed : Outcome::Cancelled);
+        } else if (m_taken.insert(it.attempt).second) {
+            report(it.attempt, Outcome::NeverStarted, {}); // its start can no longer be taken
+        }
+    }
+    for (const auto &it : sync.starts) {
+        if (m_taken.insert(it.attempt).second) {
+            start(it);
+        }
+    }
+}
+
+void FakeWorker::start(const StartOrder &order)
+{
+    if (clock() > order.notAfter || clock() >= order.leaseUntil) {
+        report(order.attempt, Outcome::NeverStarted, {});
+        return;
+    }
+    const auto task = taskOf(order.payload);
+    const auto run = m_journal.runs.size();
+    const auto now = m_queue.now();
+    m_journal.runs.push_back(
+        {m_index, order.attempt, order.request, order.ordinal, order.payload, order.held, now, notYet, Outcome::None});
+    m_journal.observations.push_back({now, Seen::RunStarted, run});
+    const Milliseconds endsAt = task.runTime < Milliseconds{0} ? Milliseconds::max() : now + task.runTime;
+    m_active[order.attempt] = {run, order.leaseUntil, failsAll ? now + Milliseconds{5} : endsAt};
+    schedule(order.attempt);
+}
+
+void FakeWorker::schedule(AttemptNumber attempt)
+{
+    const auto &active = m_active.at(attempt);
+    const auto leaseEnd = active.leaseUntil.time_since_epoch() - clockOffset;
+    m_queue.at(std::min(active.endsAt, leaseEnd), [this, attempt, boot = m_bootId] { checkAttempt(attempt, boot); });
+}
+
+void FakeWorker::checkAttempt(AttemptNumber attempt, std::uint64_t boot)
+{
+    const auto found = m_active.find(attempt);
+    if (boot != m_bootId || found == m_active.end()) {
+        return;
+    }
+    const auto &active = found->second;
+    if (clock() >= active.leaseUntil) {
+        end(attempt, Outcome::Lost);
+    } else if (m_paused) {
+        m_queue.at(active.leaseUntil.time_since_epoch() - clockOffset,
+                   [this, attempt, boot] { checkAttempt(attempt, boot); });
+    } else if (m_queue.now() >= active.endsAt) {
+        const bool fails = failsAll || taskOf(m_journal.runs[active.run].payload).fails;
+        end(attempt, fails ? Outcome::Failed : Outcome::Succeeded);
+    }
+    if (!m_paused && !m_active.contains(attempt)) {
+        answerPolls();
+    }
+}
+
+void FakeWorker::expire()
+{
+    std::vector<AttemptNumber> over;
+    for (const auto &[attempt, active] : m_active) {
+        if (clock() >= active.leaseUntil) {
+            over.push_back(attempt);
+        }
+    }
+    for (const auto it : over) {
+        end(it, Outcome::Lost);
+    }
+}
+
+void FakeWorker::end(AttemptNumber attempt, Outcome outcome)
+{
+    const auto found = m_active.find(attempt);
+    auto &run = m_journal.runs[found->second.run];
+    run.endedAt = m_queue.now();
+    run.outcome = outcome;
+    m_journal.observations.push_back({run.endedAt, Seen::RunEnded, found->second.run});
+    m_active.erase(found);
+    TaskResult result;
+    if (outcome == Outcome::Succeeded) {
+        const auto answer = wholeAnswerOf(run.payload, run.ordinal);
+        result.length = answer.size();
+        result.digest = digestOfBytes(answer);
+        result.body = answer.size() <= inlineBytes ? answer : "";
+        result.heldBy = answer.size() <= inlineBytes ? "" : m_row.name;
+    }
+    report(attempt, outcome, std::move(result));
+}
+
+void FakeWorker::report(AttemptNumber attempt, Outcome outcome, TaskResult result)
+{
+    m_ends.push_back({++m_lastReport, {attempt, outcome, std::move(result)}});
+}
+
+void FakeWorker::failRunning()
+{
+    while (!m_active.empty()) {
+        end(m_active.begin()->first, Outcome::Failed);
+    }
+    answerPolls();
+}
+
+void FakeWorker::answerPolls()
+{
+    for (auto polls = std::exchange(m_polls, {}); const auto &it : polls) {
+        it.reply(makeReport());
+    }
+}
+
+WorkerReport FakeWorker::makeReport() const
+{
+    WorkerReport report;
+    report.worker = m_row.name;
+    report.bootId = m_bootId;
+    report.total = m_total;
+    report.clock = clock();
+    report.ends.assign(m_ends.begin(), m_ends.end());
+    for (const auto &[attempt, active] : m_active) {
+        report.active.push_back(attempt);
+        const auto &run = m_journal.runs[active.run];
+        if (m_queue.now() - run.startedAt >= usageLag) {
+            report.usage.push_back({attempt, {run.held.cpuMilli / 2, run.held.memoryMb / 2, run.held.accelerators}});
+        }
+    }
+    return report;
+}
+
+void FakeWorker::kill()
+{
+    for (const auto &[attempt, active] : m_active) {
+        auto &run = m_journal.runs[active.run];
+        run.endedAt = m_queue.now();
+        run.outcome = Outcome::Lost;
+        m_journal.observations.push_back({run.endedAt, Seen::RunEnded, active.run});
+    }
+    m_active.clear();
+    m_taken.clear();
+    m_ends.clear();
+    m_polls.clear();
+    m_held.clear();
+    m_lastReport = 0;
+    m_up = false;
+    m_paused = false;
+    ++m_bootId;
+}
+
+void FakeWorker::boot()
+{
+    m_up = true;
+}
+
+void FakeWorker::setPaused(bool paused)
+{
+    if (!m_up || m_paused == paused) {
+        return;
+    }
+    m_paused = paused;
+    if (paused) {
+        return;
+    }
+    for (const auto attempt : makeReport().active) {
+        checkAttempt(attempt, m_bootId);
+    }
+    answerPolls();
+    for (auto held = std::exchange(m_held, {}); auto &[order, reply] : held) {
+        sync(order, std::move(reply));
+    }
+}
+
+} // namespace flamingotally::fakes
--- /dev/null
+++ b/tests/fakes/world.cpp
@@ -0,0 +1,597 @@
+#include "fakes/world.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingotally::fakes
+{
+
+namespace
+{
+constexpr Milliseconds wallEpoch{1'796'000'000'000}; ///< Start of the world by wall clocks.
+constexpr Milliseconds hostListLag{1'000};
+constexpr Milliseconds exchangeTimeout{2'000}; ///< After which a client gives up on a silent platform or peer.
+constexpr std::uint8_t operatorKeyNumber = 255;
+
+std::string hex(const KeyDigest &digest)
+{
+    std::string text;
+    for (const auto it : digest) {
+        text += fmt::format("{:02x}", it);
+    }
+    return text;
+}
+
+/** Shows a job as the front would. */
+std::optional<JobView> viewOf(const Tables &tables, const RequestId &request)
+{
+    const auto row = findRef(tables.lookups.requests, request);
+    if (!row.isSet()) {
+        return std::nullopt;
+    }
+    const auto &record = tables.requests.get<RequestRecord>(row);
+    if (!tables.jobs.contains(record.job)) {
+        return JobView{"", record.outcome, {}};
+    }
+    JobView view;
+    const auto &state = tables.jobs.get<JobState>(record.job);
+    view.team = tables.teams.get<TeamIdentity>(tables.jobs.get<JobIdentity>(record.job).team).name;
+    view.outcome = state.outcome;
+    for (const auto it : state.tasks) {
+        view.tasks.push_back({tables.tasks.get<TaskState>(it).outcome, tables.tasks.get<TaskResult>(it)});
+    }
+    return view;
+}
+} // namespace
+
+KeyDigest testKey(std::uint8_t number)
+{
+    KeyDigest digest;
+    digest.fill(number);
+    return digest;
+}
+
+KeyDigest operatorKey()
+{
+    return testKey(operatorKeyNumber);
+}
+
+std::string World::domainName(std::size_t domain)
+{
+    return fmt::format("domain-{}", domain);
+}
+
+World::World(const WorldLayout &layout) : log(queue), random(layout.seed), m_layout(layout)
+{
+    for (std::size_t n = 0; n < layout.domains * layout.daemonsPerDomain; ++n) {
+        auto &it = daemons.emplace_back();
+        it.domain = n / layout.daemonsPerDomain;
+        it.settings = layout.settings;
+        it.settings.name = fmt::format("entry-{}", n);
+        it.settings.domain = domainName(it.domain);
+        it.settings.peerAddress = fmt::format("127.0.0.1:{}", 7'000 + n);
+        it.settings.httpAddress = fmt::format("127.0.0.1:{}", 8'000 + n);
+        it.settings.operatorKeyDigest = hex(operatorKey());
+        it.clockOffset = Milliseconds{100'000 + static_cast<std::int64_t>(random() % 1'000'000)};
+    }
+    for (std::size_t n = 0; n < layout.domains * layout.workersPerDomain; ++n) {
+        const auto domain = n / layout.workersPerDomain;
+        const auto rack = fmt::format("rack-{}-{}", domain, n % layout.racksPerDomain);
+        HostRow row{fmt::format("worker-{}", n), fmt::format("127.0.0.1:{}", 9'000 + n), domainName(domain), rack};
+        const auto &total = n % 3 == 2 ? layout.acceleratorWorkerTotal : layout.workerTotal;
+        workers.push_back(std::make_unique<FakeWorker>(queue, journal, n, row, total));
+        workers.back()->clockOffset = Milliseconds{100'000 + static_cast<std::int64_t>(random() % 1'000'000)};
+    }
+    publishHosts();
+    for (std::size_t n = 0; n < daemons.size(); ++n) {
+        startDaemon(n);
+    }
+}
+
+void World::runFor(Milliseconds time)
+{
+    const auto until = queue.now() + time;
+    while (queue.runNext(until)) { }
+}
+
+WallTime World::wallNow() const
+{
+    return WallTime{wallEpoch + queue.now()};
+}
+
+bool World::chance(double share)
+{
+    return share > 0 && std::uniform_real_distribution<>(0, 1)(random) < share;
+}
+
+Milliseconds World::linkDelay()
+{
+    if (chance(network.late)) {
+        return network.delay + Milliseconds{static_cast<std::int64_t>(random() % network.lateBy.count())};
+    }
+    return network.delay;
+}
+
+void World::setCut(std::size_t one, std::size_t other, bool cut)
+{
+    const auto link = std::minmax(one, other);
+    if (cut) {
+        m_cuts.insert(link);
+    } else {
+        m_cuts.erase(link);
+    }
+}
+
+bool World::isCut(std::size_t one, std::size_t other) const
+{
+    return m_cuts.contains(std::minmax(one, other));
+}
+
+void World::setLogMode(LogMode mode)
+{
+    log.faults.mode = mode;
+    if (mode != LogMode::Up) {
+        log.failWaitingReads();
+    }
+}
+
+void World::endFaults()
+{
+    m_cuts.clear();
+    setLogMode(LogMode::Up);
+    log.faults = LogFaults{.retention = log.faults.retention, .encode = log.faults.encode};
+    network = NetworkFaults{};
+    for (std::size_t n = 0; n < daemons.size(); ++n) {
+        resumeDaemon(n);
+        startDaemon(n);
+    }
+    for (std::size_t n = 0; n < workers.size(); ++n) {
+        workers[n]->setPaused(false);
+        workers[n]->failsAll = false;
+        bootWorker(n);
+        setLeaving(n, false);
+    }
+}
+
+// Processes ---------------------------------------------------------------------------------------------------------
+
+void World::startDaemon(std::size_t daemon)
+{
+    auto &it = daemons[daemon];
+    if (it.state != ProcessState::Down) {
+        return;
+    }
+    it.state = ProcessState::Running;
+    it.startedAt = now();
+    it.stopping = false;
+    it.pauseInTick = false;
+    it.tickQueued = false;
+    ++it.life;
+    it.node = std::make_unique<Node>();
+    it.node->settings = it.settings;
+    it.node->incarnation = static_cast<std::uint64_t>(wallNow().time_since_epoch().count()) + it.life;
+    it.node->random.seed(random());
+    wake(daemon);
+}
+
+void World::killDaemon(std::size_t daemon)
+{
+    endProcess(daemon, false);
+}
+
+void World::stopDaemon(std::size_t daemon)
+{
+    if (auto &it = daemons[daemon]; it.state == ProcessState::Running && !it.stopping) {
+        it.stopping = true;
+        it.node->phase = NodePhase::Draining;
+        wake(daemon);
+    }
+}
+
+void World::endProcess(std::size_t daemon, bool planned)
+{
+    auto &it = daemons[daemon];
+    if (it.state == ProcessState::Down) {
+        return;
+    }
+    it.state = ProcessState::Down;
+    ++it.life;
+    it.node.reset();
+    it.heldDeliveries.clear();
+    it.heldSends.clear();
+    for (auto calls = std::exchange(it.openCalls, {}); const auto call : calls) {
+        journal.calls[call].cutByStop = planned;
+        finishCall(call, CallState::Cut);
+    }
+}
+
+void World::pauseDaemon(std::size_t daemon, bool inTick)
+{
+    if (auto &it = daemons[daemon]; it.state == ProcessState::Running) {
+        it.pauseInTick = inTick;
+        it.state = inTick ? ProcessState::Running : ProcessState::Paused;
+    }
+}
+
+void World::resumeDaemon(std::size_t daemon)
+{
+    auto &it = daemons[daemon];
+    it.pauseInTick = false;
+    if (it.state != ProcessState::Paused) {
+        return;
+    }
+    it.state = ProcessState::Running;
+    for (auto sends = std::exchange(it.heldSends, {}); const auto &function : sends) {
+        function();
+    }
+    for (auto held = std::exchange(it.heldDeliveries, {}); const auto &delivery : held) {
+        delivery(*it.node, MonotonicTime{now() + it.clockOffset});
+    }
+    wake(daemon);
+}
+
+void World::wake(std::size_t daemon)
+{
+    if (auto &it = daemons[daemon]; !it.tickQueued) {
+        it.tickQueued = true;
+        queue.at(now(), [this, daemon, life = it.life] { tickDaemon(daemon, life); });
+    }
+}
+
+void World::tickDaemon(std::size_t daemon, std::uint64_t life)
+{
+    auto &it = daemons[daemon];
+    if (it.life != life || it.state != ProcessState::Running) {
+        it.tickQueued = it.life != life && it.tickQueued;
+        return;
+    }
+    it.tickQueued = false;
+    if (it.pauseInTick) {
+        it.state = ProcessState::Paused; // the sends below are held until it goes on
+    }
+    ++it.ticks;
+    DaemonPorts ports(*this, daemon);
+    runTick(*it.node, ports, ports, ports, ports, ports, ports);
+    if (it.node && it.node->phase == NodePhase::Drained && it.state == ProcessState::Running) {
+        endProcess(daemon, true);
+        return;
+    }
+    setTimer(daemon);
+}
+
+void World::setTimer(std::size_t daemon)
+{
+    auto &it = daemons[daemon];
+    const auto due = it.node->nextWake.time_since_epoch() - it.clockOffset;
+    queue.at(std::max(due, now() + Milliseconds{1}), [this, daemon, life = it.life, timer = ++it.timer] {
+        if (daemons[daemon].life == life && daemons[daemon].timer == timer) {
+            wake(daemon);
+        }
+    });
+}
+
+void World::deliver(std::size_t daemon, std::uint64_t life, Delivery delivery)
+{
+    auto &it = daemons[daemon];
+    if (it.life != life || it.state == ProcessState::Down) {
+        return;
+    }
+    if (it.state == ProcessState::Paused) {
+        it.heldDeliveries.push_back(std::move(delivery));
+        return;
+    }
+    delivery(*it.node, MonotonicTime{now() + it.clockOffset});
+    wake(daemon);
+}
+
+void World::send(std::size_t daemon, EventFunction function)
+{
+    if (daemons[daemon].state == ProcessState::Paused) {
+        daemons[daemon].heldSends.push_back(std::move(function));
+    } else {
+        function();
+    }
+}
+
+// Hosts -------------------------------------------------------------------------------------------------------------
+
+void World::killWorker(std::size_t worker)
+{
+    workers[worker]->kill();
+    publishHosts();
+}
+
+void World::bootWorker(std::size_t worker)
+{
+    workers[worker]->boot();
+    publishHosts();
+}
+
+void World::setLeaving(std::size_t worker, bool leaving)
+{
+    workers[worker]->leaving = leaving;
+    publishHosts();
+}
+
+void World::publishHosts()
+{
+    std::vector<HostRow> rows;
+    for (const auto &it : daemons) {
+        rows.push_back({it.settings.name, it.settings.peerAddress, it.settings.domain, "", HostRole::Entry, false});
+    }
+    for (const auto &it : workers) {
+        rows.push_back(it->row());
+        rows.back().leaving = it->leaving;
+    }
+    const auto lag = m_visibleHosts.empty() ? Milliseconds{0} : hostListLag;
+    queue.after(lag, [this, rows = std::move(rows)] { m_visibleHosts = rows; });
+}
+
+std::size_t World::domainOfWorker(std::size_t worker) const
+{
+    return worker / m_layout.workersPerDomain;
+}
+
+// Callers -----------------------------------------------------------------------------------------------------------
+
+std::size_t World::call(std::size_t daemon, std::optional<KeyDigest> key, CallerAction action)
+{
+    const auto index = journal.calls.size();
+    auto &call = journal.calls.emplace_back();
+    call.daemon = daemon;
+    call.request = {index + 1, key, std::move(action)};
+    call.sentAt = now();
+    journal.observations.push_back({now(), Seen::CallSent, index});
+    queue.after(network.delay, [this, index] { takeCall(index); });
+    return index;
+}
+
+void World::takeCall(std::size_t call)
+{
+    const auto daemon = journal.calls[call].daemon;
+    auto &it = daemons[daemon];
+    if (it.state == ProcessState::Down) {
+        finishCall(call, CallState::NotSent);
+        return;
+    }
+    it.openCalls.insert(call);
+    deliver(daemon, it.life, [request = journal.calls[call].request](Node &node, MonotonicTime) {
+        node.inbox.callerRequests.push_back(request);
+    });
+}
+
+void World::finishCall(std::size_t call, CallState state)
+{
+    journal.calls[call].state = state;
+    journal.calls[call].answeredAt = now();
+    journal.observations.push_back({now(), Seen::CallAnswered, call});
+}
+
+RequestId World::makeId()
+{
+    return makeRequestId(wallNow(), random(), random());
+}
+
+std::size_t World::servingDaemon() const
+{
+    const auto serves = [](const FakeDaemon &it) {
+        return it.state == ProcessState::Running && it.node->phase == NodePhase::Serving;
+    };
+    return static_cast<std::size_t>(std::ranges::find_if(daemons, serves) - daemons.begin());
+}
+
+// Ports -------------------------------------------------------------------------------------------------------------
+
+MonotonicTime DaemonPorts::now() const
+{
+    return MonotonicTime{m_world.now() + m_world.daemons[m_daemon].clockOffset};
+}
+
+WallTime DaemonPorts::wallNow() const
+{
+    return m_world.wallNow();
+}
+
+void DaemonPorts::append(const Batch &batch)
+{
+    auto &world = m_world;
+    const auto daemon = m_daemon;
+    const auto life = world.daemons[daemon].life;
+    world.send(daemon, [&world, daemon, life, batch] {
+        const auto domain = world.daemons[daemon].domain;
+        const auto answer = [&world, daemon, life, sequence = batch.sequence](AppendOutcome outcome) {
+            world.deliver(daemon, life, [=](Node &node, MonotonicTime) {
+                node.inbox.appendAnswers.push_back({sequence, outcome});
+            });
+        };
+        world.queue.after(world.daemons[daemon].settings.appendTimeout, [answer] { answer(AppendOutcome::Unknown); });
+        if (world.isCut(domain, world.platform()) || world.log.faults.mode == LogMode::Silent) {
+            return;
+        }
+        if (world.log.faults.mode == LogMode::Refusing || world.chance(world.log.faults.refusal)) {
+            world.queue.after(world.linkDelay(), [answer] { answer(AppendOutcome::Refused); });
+            return;
+        }
+        world.queue.after(world.linkDelay() + world.log.faults.appendLatency, [&world, domain, answer, batch] {
+            if (world.log.faults.mode != LogMode::Up) {
+                return;
+            }
+            world.log.store(batch);
+            if (!world.chance(world.log.faults.answerLoss) && !world.isCut(domain, world.platform())) {
+                world.queue.after(world.linkDelay(), [answer] { answer(AppendOutcome::Stored); });
+            }
+        });
+    });
+}
+
+void DaemonPorts::readFrom(std::uint64_t offset)
+{
+    auto &world = m_world;
+    const auto daemon = m_daemon;
+    const auto life = world.daemons[daemon].life;
+    const auto askedAt = now();
+    world.send(daemon, [&world, daemon, life, askedAt, offset] {
+        const auto domain = world.daemons[daemon].domain;
+        const auto wait = world.daemons[daemon].settings.logPoll;
+        const auto answer = [&world, daemon, life, askedAt, done = std::make_shared<bool>(false)](LogRead read) {
+            if (!std::exchange(*done, true)) {
+                read.askedAt = askedAt;
+                world.deliver(daemon, life, [read = std::move(read)](Node &node, MonotonicTime) {
+                    node.inbox.logReads.push_back(read);
+                });
+            }
+        };
+        LogRead failed;
+        failed.failed = true;
+        world.queue.after(wait + exchangeTimeout, [answer, failed] { answer(failed); });
+        if (world.log.faults.mode == LogMode::Refusing) {
+            world.queue.after(world.linkDelay(), [answer, failed] { answer(failed); });
+        }
+        if (world.isCut(domain, world.platform()) || world.log.faults.mode != LogMode::Up) {
+            return;
+        }
+        world.queue.after(world.linkDelay(), [&world, domain, wait, offset, answer] {
+            world.log.read(offset, wait, [&world, domain, answer](const LogRead &read) {
+                if (!world.isCut(domain, world.platform()) && world.log.faults.mode == LogMode::Up) {
+                    world.queue.after(world.linkDelay(), [answer, read] { answer(read); });
+                }
+            });
+        });
+    });
+}
+
+void DaemonPorts::sync(const WorkerSync &sync)
+{
+    auto &world = m_world;
+    const auto daemon = m_daemon;
+    const auto life = world.daemons[daemon].life;
+    const auto named = [&](const auto &it) {
+        return it->row().name == sync.worker;
+    };
+    const auto worker = static_cast<std::size_t>(std::ranges::find_if(world.workers, named) - world.workers.begin());
+    if (worker == world.workers.size()) {
+        return;
+    }
+    world.send(daemon, [&world, daemon, life, worker, sync] {
+        const auto domain = world.daemons[daemon].domain;
+        const auto answer = [&world, daemon, life, done = std::make_shared<bool>(false)](WorkerReport report) {
+            if (!std::exchange(*done, true)) {
+                world.deliver(daemon, life, [report = std::move(report)](Node &node, MonotonicTime receivedAt) {
+                    node.inbox.workerReports.push_back(report);
+                    node.inbox.workerReports.back().receivedAt = receivedAt;
+                });
+            }
+        };
+        WorkerReport failed;
+        failed.worker = sync.worker;
+        failed.failed = true;
+        const auto timeout = sync.wait + world.daemons[daemon].settings.workerTimeout;
+        world.queue.after(timeout, [answer, failed] { answer(failed); });
+        const auto home = world.domainOfWorker(worker);
+        if (world.isCut(domain, home)) {
+            return;
+        }
+        world.queue.after(world.linkDelay(), [&world, domain, home, worker, sync, answer] {
+            if (world.isCut(domain, home)) {
+                return;
+            }
+            world.workers[worker]->sync(sync, [&world, domain, home, answer](const WorkerReport &report) {
+                if (!world.isCut(domain, home)) {
+                    world.queue.after(world.linkDelay(), [answer, report] { answer(report); });
+                }
+            });
+        });
+    });
+}
+
+void DaemonPorts::readHosts()
+{
+    auto &world = m_world;
+    const auto daemon = m_daemon;
+    const auto life = world.daemons[daemon].life;
+    world.send(daemon, [&world, daemon, life] {
+        const bool failed =
+            world.isCut(world.daemons[daemon].domain, world.platform()) || world.log.faults.mode != LogMode::Up;
+        world.queue.after(failed ? exchangeTimeout : 2 * world.linkDelay(), [&world, daemon, life, failed] {
+            HostListRead read{failed ? std::vector<HostRow>{} : world.m_visibleHosts, failed};
+            world.deliver(daemon, life, [read = std::move(read)](Node &node, MonotonicTime) {
+                node.inbox.hostLists.push_back(read);
+            });
+        });
+    });
+}
+
+void DaemonPorts::sendHeartbeat(const std::string &address, const Heartbeat &heartbeat)
+{
+    auto &world = m_world;
+    const auto sender = m_daemon;
+    const auto listens = [&](const FakeDaemon &it) {
+        return it.settings.peerAddress == address;
+    };
+    const auto peer = static_cast<std::size_t>(std::ranges::find_if(world.daemons, listens) - world.daemons.begin());
+    if (peer == world.daemons.size()) {
+        return;
+    }
+    world.send(sender, [&world, sender, peer, heartbeat] {
+        const auto from = world.daemons[sender].domain;
+        if (world.isCut(from, world.daemons[peer].domain) || world.chance(world.network.heartbeatLoss)) {
+            return;
+        }
+        world.queue.after(world.linkDelay(), [&world, peer, heartbeat] {
+            world.deliver(peer, world.daemons[peer].life, [heartbeat](Node &node, MonotonicTime receivedAt) {
+                node.inbox.heartbeats.push_back({heartbeat, receivedAt});
+            });
+        });
+    });
+}
+
+void DaemonPorts::fetchRecords(const std::string &address, std::uint64_t offset)
+{
+    auto &world = m_world;
+    const auto daemon = m_daemon;
+    const auto life = world.daemons[daemon].life;
+    const auto listens = [&](const FakeDaemon &it) {
+        return it.settings.peerAddress == address;
+    };
+    const auto peer = static_cast<std::size_t>(std::ranges::find_if(world.daemons, listens) - world.daemons.begin());
+    if (peer == world.daemons.size()) {
+        return;
+    }
+    world.send(daemon, [&world, daemon, life, peer, offset] {
+        const auto answer = [&world, daemon, life](LogRead read) {
+            world.deliver(daemon, life, [read = std::move(read)](Node &node, MonotonicTime) {
+                node.inbox.peerReads.push_back(read);
+            });
+        };
+        const auto &other = world.daemons[peer];
+        const bool reached = !world.isCut(world.daemons[daemon].domain, other.domain);
+        if (!reached || other.state != ProcessState::Running) {
+            LogRead failed;
+            failed.failed = true;
+            world.queue.after(exchangeTimeout, [answer, failed] { answer(failed); });
+            return;
+        }
+        const auto read = world.log.copy(offset, other.node->tables.position.nextOffset);
+        world.queue.after(2 * world.linkDelay(), [answer, read] { answer(read); });
+    });
+}
+
+void DaemonPorts::answer(const CallerAnswer &answer)
+{
+    auto &world = m_world;
+    const auto daemon = m_daemon;
+    const auto call = static_cast<std::size_t>(answer.handle - 1);
+    auto view = viewOf(world.daemons[daemon].node->tables, answer.request);
+    const auto life = world.daemons[daemon].life;
+    world.send(daemon, [&world, daemon, life, call, answer, view = std::move(view)] {
+        if (world.daemons[daemon].life == life && world.daemons[daemon].openCalls.erase(call) != 0) {
+            world.journal.calls[call].answer = answer;
+            world.journal.calls[call].view = view;
+            world.finishCall(call, CallState::Answered);
+        }
+    });
+}
+
+} // namespace flamingotally::fakes
