--- a/src/codec/toml_field.h
+++ b/src/codec/toml_field.h
@@ -4,6 +4,7 @@
 #include "core/error.h"
 #include "core/field_table.h"
 
+#include <absl/status/statusor.h>
 #include <fmt/format.h>
 #include <toml++/toml.h>
 
--- /dev/null
+++ b/src/table/resources_field_table.h
@@ -0,0 +1,26 @@
+/** @file resources_field_table.h Fields of amounts of resources. */
+#pragma once
+
+#include "core/field_table.h"
+#include "resources_type.h"
+
+namespace flamingotally
+{
+
+using ResourcesFieldRow = FieldRow<Resources>;
+
+constexpr std::int64_t maxResourceAmount = 1'000'000'000'000;
+
+inline constexpr std::array resourcesFieldTable = {
+    ResourcesFieldRow{"cpuMilli",
+                      FieldKind::MilliCores,
+                      &Resources::cpuMilli,
+                      0,
+                      maxResourceAmount,
+                      "Thousandths of a processor core."},
+    ResourcesFieldRow{"memoryMb", FieldKind::Megabytes, &Resources::memoryMb, 0, maxResourceAmount, "Memory."},
+    ResourcesFieldRow{
+        "accelerators", FieldKind::Count, &Resources::accelerators, 0, maxResourceAmount, "Whole accelerators."},
+};
+
+} // namespace flamingotally
--- a/src/table/settings_table.h
+++ b/src/table/settings_table.h
@@ -15,7 +15,7 @@
 constexpr std::int64_t maxAddressLength = 21;
 constexpr std::int64_t hourMs = 3'600'000;
 
-constexpr std::array settingsTable = {
+inline constexpr std::array settingsTable = {
     SettingRow{"name", FieldKind::Name, &Settings::name, 1, maxNameLength, "Unique name of this daemon."},
     SettingRow{"domain", FieldKind::Name, &Settings::domain, 1, maxNameLength, "Failure domain of its host."},
     SettingRow{"httpAddress",
