Run the tick: read back, admit, append in batches, answer

Proposals are commands that wait for a batch; a batch is appended one at a time under (incarnation, sequence) and stands until it is read back, so an append whose answer is lost is found by reading on. A refused append dissolves the batch only while no earlier send of it may have been stored. A caller hears log_unavailable (not run) only when its command was never sent, outcome_unknown otherwise.

--- a/src/node_base.h
+++ b/src/node_base.h
@@ -84,6 +84,7 @@
     MonotonicTime queuedAt{};
     std::size_t bytes = 0; ///< Estimate of its encoded size.
     RequestHandle handle = 0; ///< The caller who waits for it; zero for none.
+    std::uint64_t order = 0; ///< Rises with every proposal: batches keep this order.
 };
 
 using ProposalTable = Table<ProposalTag, Proposal>;
@@ -92,9 +93,11 @@
 struct BatchInFlight {
     Batch batch;
     std::vector<ProposalRef> proposals; ///< In the order of the batch's commands.
-    MonotonicTime sentAt{};
+    MonotonicTime sentAt{}; ///< When it was last sent.
+    MonotonicTime resendAt{}; ///< When it is sent again, unless read back before.
+    std::uint32_t failures = 0; ///< Sends in a row that the log did not answer as stored.
+    std::uint32_t unansweredSends = 0; ///< Sends that may have been stored without an answer.
     bool answered = false; ///< The log has stored it; only the read-back is missing.
-    bool mayBeStored = false; ///< It was sent at least once without a definite refusal.
 };
 
 struct PeerTag;
@@ -184,9 +187,12 @@
 /** A caller who waits. */
 struct Waiter {
     RequestHandle handle = 0;
-    RequestId request; ///< Job whose end it waits for; unset while it waits for a proposal only.
+    RequestId request; ///< The job it is about; unset for changes of the configuration.
     MonotonicTime until{}; ///< Answered by then in any case.
+    Milliseconds waitForEnd{
+        0}; ///< Once accepted, how long it waits for the end of the job; zero to be answered at once.
     bool accepted = false; ///< Its proposal has been read back.
+    bool waitsForEnd = false; ///< It was accepted, and `until` bounds the wait for the end.
     ProposalRef proposal; ///< Its proposal, until read back.
     CommandResult result;
 };
@@ -306,6 +312,8 @@
     ProposalTable proposals;
     std::optional<BatchInFlight> inFlight;
     std::uint64_t nextSequence = 1;
+    std::uint64_t nextProposal = 1;
+    MonotonicTime appendedAt{}; ///< When the last batch was closed.
     PeerTable peers;
     WorkerLinkTable workerLinks;
     LeaseScan leaseScan;
@@ -321,6 +329,8 @@
     MonotonicTime heartbeatSentAt{};
     MonotonicTime hostsReadAt{};
     MonotonicTime snapshotAt{};
+    ProposalRef leaveProposal; ///< Proposal to leave; unset or gone when there is none under way.
+    MonotonicTime drainingSince{}; ///< When draining began; zero before.
     ProposalRef joinProposal; ///< Proposal to join; unset or gone when there is none under way.
     std::vector<HostRow> hosts; ///< Host list as last read, ordered by name.
     MonotonicTime hostsHeardAt{}; ///< When it last arrived; zero before the first time.
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -39,6 +39,7 @@
     Milliseconds snapshotInterval{60'000}; ///< Between snapshots of the tables.
     Milliseconds jobRetention{600'000}; ///< How long ended jobs and their results are kept.
 
+    std::uint64_t appendBudget = 300; ///< Appends a second that all daemons together may make.
     std::uint64_t batchBytes = 64 * 1024; ///< Size at which a batch is closed.
     std::uint64_t snapshotChunkBytes = 48 * 1024; ///< Size of one part of a snapshot.
     std::uint64_t maxBodyBytes = 256 * 1024; ///< Largest body of a caller's request.
--- /dev/null
+++ b/src/systems/admission.cpp
@@ -0,0 +1,255 @@
+#include "command_func.h"
+#include "core/digest.h"
+#include "job_func.h"
+#include "key_func.h"
+#include "node_func.h"
+#include "systems/systems.h"
+#include "table/reason_table.h"
+
+#include <fmt/format.h>
+
+namespace flamingotally
+{
+
+namespace
+{
+
+constexpr Milliseconds shortestRetryAfter{200};
+constexpr Milliseconds longestRetryAfter{2'000};
+
+/** Where a refusal arose and why. */
+struct Refusal {
+    Reason reason = Reason::None;
+    Step step = Step::Admit;
+};
+
+/** Answers at once. Callers who may retry are told to come back at different times. */
+void refuse(Node &node, RequestHandle handle, const Refusal &refusal, const RequestId &request = {})
+{
+    CallerAnswer answer;
+    answer.handle = handle;
+    answer.reason = refusal.reason;
+    answer.step = refusal.step;
+    answer.request = request;
+    if (rowOf(reasonTable, answer.reason).retryable) {
+        std::uniform_int_distribution<std::int64_t> spread(shortestRetryAfter.count(), longestRetryAfter.count());
+        answer.retryAfter = Milliseconds{spread(node.random)};
+    }
+    countRefusal(node, answer.reason);
+    node.outbox.answers.push_back(std::move(answer));
+}
+
+/** Lets a caller wait for a proposal, and then for the end of its job when it asks for that. */
+void wait(Node &node, const Waiter &waiter)
+{
+    node.waiterByHandle[waiter.handle] = node.waiters.insert(waiter);
+}
+
+/** Where a command would stand if it were appended now. */
+RecordContext contextNow(const Node &node, const TickTime &time)
+{
+    return {node.tables.position.nextOffset, estimateLogTime(node, time), selfRef(node)};
+}
+
+/** Why this daemon takes nothing at all at the moment. */
+Reason testPhase(const Node &node)
+{
+    if (node.phase == NodePhase::CatchingUp) {
+        return Reason::CatchingUp;
+    }
+    if (node.phase == NodePhase::Drained) {
+        return Reason::Draining;
+    }
+    return node.waiters.size() >= node.settings.maxRequestsInHand ? Reason::Overloaded : Reason::None;
+}
+
+/** The command that a submission asks for; its team is told apart in the digest of the body. */
+SubmitJob commandOf(const Node &node, const SubmitAction &action, const BearerRights &rights)
+{
+    SubmitJob command;
+    command.request = action.request;
+    command.key = rights.key;
+    command.name = action.name;
+    command.profile = findRef(node.tables.lookups.profiles, action.profile);
+    command.perTask = action.perTask;
+    command.count = action.count;
+    command.runEstimate = action.runEstimate;
+    command.payload = action.payload;
+    command.bodyDigest = digestOfBytes(
+        fmt::format("{}\n{}\n{}\n{}", action.bodyDigest, action.profile, rights.team.index, rights.team.generation));
+    return command;
+}
+
+/** Judges what can be told of a submission before it is tested against the tables. */
+Refusal testSubmission(const Node &node, const SubmitJob &command, const BearerRights &rights)
+{
+    if (!node.tables.profiles.contains(command.profile)) {
+        return {Reason::ProfileUnknown};
+    }
+    const auto &spec = node.tables.profiles.get<ProfileSpec>(command.profile);
+    const bool isOpen = spec.access == QueueAccess::Open;
+    if (!isOpen && rights.reason != Reason::None) {
+        return {rights.reason, Step::Authenticate};
+    }
+    if (!isOpen && !rights.key.isSet()) {
+        return {Reason::KeyLacksRole, Step::Authenticate};
+    }
+    if (!isOpen && !node.view.fresh) {
+        return {Reason::ViewStale};
+    }
+    return {!spec.idempotent && !command.request.isSet() ? Reason::RequestIdMissing : Reason::None};
+}
+
+/** Takes a repeated submission: its caller learns of the job that is there. */
+void joinKnownJob(Node &node, RequestHandle handle, const SubmitAction &action, const TickTime &time)
+{
+    Waiter waiter;
+    waiter.handle = handle;
+    waiter.request = action.request;
+    waiter.until = time.now;
+    waiter.waitForEnd = action.waitForEnd;
+    waiter.accepted = true;
+    waiter.result.reason = Reason::RequestRepeated;
+    wait(node, waiter);
+}
+
+/** Puts the first placements into a command, while this daemon may place. */
+void planFirst(Node &node, SubmitJob &command, const TickTime &time)
+{
+    TeamRef team;
+    const auto &spec = node.tables.profiles.get<ProfileSpec>(command.profile);
+    const bool mayPlace = node.view.fresh && node.phase == NodePhase::Serving;
+    if (mayPlace && teamOfSubmission(node.tables, spec, command.key, team) == Reason::None) {
+        command.placements = planNewJob(node, command, team, time);
+    }
+}
+
+void admit(Node &node, const CallerRequest &request, const SubmitAction &action, const TickTime &time)
+{
+    const auto rights = rightsOf(node.tables, node.settings, request.key);
+    auto command = commandOf(node, action, rights);
+    if (const auto refusal = testSubmission(node, command, rights); refusal.reason != Reason::None) {
+        refuse(node, request.handle, refusal, action.request);
+        return;
+    }
+    if (!command.request.isSet()) {
+        command.request = makeRequestId(time.wall, node.random(), node.random());
+    }
+    const auto tested = applyCommand(node.tables, contextNow(node, time), command, Phase::Test);
+    if (tested.reason == Reason::RequestRepeated) {
+        joinKnownJob(node, request.handle, action, time);
+        return;
+    }
+    if (tested.reason != Reason::None) {
+        refuse(node, request.handle, {tested.reason}, command.request);
+        return;
+    }
+    planFirst(node, command, time);
+    const auto urgency = node.tables.profiles.get<ProfileSpec>(command.profile).urgency;
+    Waiter waiter;
+    waiter.handle = request.handle;
+    waiter.request = command.request;
+    waiter.until = time.now + node.settings.requestTimeout;
+    waiter.waitForEnd = action.waitForEnd;
+    waiter.proposal = propose(node, std::move(command), time, urgency != Urgency::Background, request.handle);
+    wait(node, waiter);
+}
+
+void admit(Node &node, const CallerRequest &request, const WaitAction &action, const TickTime &time)
+{
+    Waiter waiter;
+    waiter.handle = request.handle;
+    waiter.request = action.request;
+    waiter.until = time.now;
+    waiter.waitForEnd = action.waitForEnd;
+    waiter.accepted = true;
+    wait(node, waiter);
+}
+
+void admit(Node &node, const CallerRequest &request, const CancelAction &action, const TickTime &time)
+{
+    const auto rights = rightsOf(node.tables, node.settings, request.key);
+    const auto known = findRef(node.tables.lookups.requests, action.request);
+    const auto job = known.isSet() ? node.tables.requests.get<RequestRecord>(known).job : JobRef{};
+    const bool isOpen =
+        node.tables.jobs.contains(job) && node.tables.jobs.get<JobSpec>(job).treatment.access == QueueAccess::Open;
+    if (!isOpen && rights.reason != Reason::None) {
+        refuse(node, request.handle, {rights.reason, Step::Authenticate}, action.request);
+        return;
+    }
+    const CancelJob command{action.request, isOpen ? KeyRef{} : rights.key};
+    const auto tested = applyCommand(node.tables, contextNow(node, time), command, Phase::Test);
+    if (tested.reason != Reason::None) {
+        refuse(node, request.handle, {tested.reason}, action.request);
+        return;
+    }
+    Waiter waiter;
+    waiter.handle = request.handle;
+    waiter.request = action.request;
+    waiter.until = time.now + node.settings.requestTimeout;
+    waiter.proposal = propose(node, command, time, true, request.handle);
+    wait(node, waiter);
+}
+
+/** Label of the author of a change. */
+std::string labelOf(const Node &node, const BearerRights &rights)
+{
+    return rights.key.isSet() ? node.tables.keys.get<KeyGrant>(rights.key).label : std::string("bootstrap");
+}
+
+/** Fills in what admission knows and the operator does not: the author, and the version of a domain. */
+void completeChange(const Node &node, const BearerRights &rights, Command &command)
+{
+    std::visit(
+        [&](auto &it) {
+            if constexpr (requires { it.author; }) {
+                it.author = {rights.key, labelOf(node, rights)};
+            }
+        },
+        command);
+    if (auto *change = std::get_if<SetDomain>(&command); change != nullptr && change->expectedVersion == 0) {
+        const auto domain = findRef(node.tables.lookups.domains, change->name);
+        change->expectedVersion = domain.isSet() ? node.tables.domains.get<DomainState>(domain).version : 0;
+    }
+}
+
+void admit(Node &node, const CallerRequest &request, const ConfigAction &action, const TickTime &time)
+{
+    const auto rights = rightsOf(node.tables, node.settings, request.key);
+    if (!rights.isOperator()) {
+        const auto reason = rights.reason != Reason::None ? rights.reason : Reason::KeyLacksRole;
+        refuse(node, request.handle, {reason, Step::Authenticate});
+        return;
+    }
+    if (!node.view.fresh) {
+        refuse(node, request.handle, {Reason::ViewStale});
+        return;
+    }
+    auto command = action.command;
+    completeChange(node, rights, command);
+    const auto tested = applyCommand(node.tables, contextNow(node, time), command, Phase::Test);
+    if (tested.reason != Reason::None) {
+        refuse(node, request.handle, {tested.reason});
+        return;
+    }
+    Waiter waiter;
+    waiter.handle = request.handle;
+    waiter.until = time.now + node.settings.requestTimeout;
+    waiter.proposal = propose(node, std::move(command), time, true, request.handle);
+    wait(node, waiter);
+}
+
+} // namespace
+
+void admissionSystem(Node &node, const TickTime &time)
+{
+    for (const auto &request : node.inbox.callerRequests) {
+        if (const auto reason = testPhase(node); reason != Reason::None) {
+            refuse(node, request.handle, {reason});
+            continue;
+        }
+        std::visit([&](const auto &action) { admit(node, request, action, time); }, request.action);
+    }
+}
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/systems/answer.cpp
@@ -0,0 +1,103 @@
+#include "node_func.h"
+#include "systems/systems.h"
+
+#include "core/digest.h"
+#include "table/reason_table.h"
+
+namespace flamingotally
+{
+
+namespace
+{
+
+constexpr Milliseconds retryAfterSilence{1'000};
+
+/** Answers a waiter and drops it. */
+void answer(Node &node, WaiterRef ref, Reason reason, Step step)
+{
+    const auto waiter = node.waiters.get<Waiter>(ref);
+    CallerAnswer it;
+    it.handle = waiter.handle;
+    it.reason = reason;
+    it.step = step;
+    it.request = waiter.request;
+    it.result = waiter.result;
+    if (rowOf(reasonTable, reason).retryable) {
+        it.retryAfter = retryAfterSilence;
+    }
+    if (reason != Reason::None && reason != Reason::RequestRepeated) {
+        countRefusal(node, reason);
+    } else {
+        ++node.counters.accepted;
+    }
+    node.outbox.answers.push_back(std::move(it));
+    node.waiterByHandle.erase(waiter.handle);
+    node.waiters.erase(ref);
+}
+
+/** Tells whether a job has ended, or is not there any more. */
+bool hasEnded(const Node &node, const RequestId &request)
+{
+    const auto known = findRef(node.tables.lookups.requests, request);
+    if (!known.isSet()) {
+        return true;
+    }
+    const auto job = node.tables.requests.get<RequestRecord>(known).job;
+    return !node.tables.jobs.contains(job) || node.tables.jobs.get<JobState>(job).outcome != Outcome::None;
+}
+
+/** A waiter whose proposal has been read back. */
+void serveAccepted(Node &node, WaiterRef ref, const TickTime &time)
+{
+    auto &waiter = node.waiters.get<Waiter>(ref);
+    const auto reason = waiter.result.reason;
+    if (reason != Reason::None && reason != Reason::RequestRepeated) {
+        answer(node, ref, reason, Step::ApplyRecord);
+        return;
+    }
+    if (waiter.waitForEnd > Milliseconds::zero()) {
+        waiter.until = time.now + waiter.waitForEnd;
+        waiter.waitForEnd = Milliseconds::zero();
+    } else if (!waiter.waitsForEnd) {
+        waiter.until = time.now;
+    }
+    waiter.waitsForEnd = true;
+    if (!waiter.request.isSet() || hasEnded(node, waiter.request) || time.now >= waiter.until) {
+        answer(node, ref, reason, Step::Answer);
+    } else {
+        wakeBy(node, waiter.until);
+    }
+}
+
+/** A waiter whose proposal is not read back yet. What was never sent is withdrawn, and surely not run. */
+void serveProposed(Node &node, WaiterRef ref, const TickTime &time)
+{
+    const auto &waiter = node.waiters.get<Waiter>(ref);
+    if (time.now < waiter.until) {
+        wakeBy(node, waiter.until);
+        return;
+    }
+    const bool isQueued = node.proposals.contains(waiter.proposal)
+        && node.proposals.get<Proposal>(waiter.proposal).phase == ProposalPhase::Queued;
+    if (isQueued) {
+        node.proposals.erase(waiter.proposal);
+        answer(node, ref, Reason::LogUnavailable, Step::Append);
+    } else {
+        answer(node, ref, Reason::OutcomeUnknown, Step::Append);
+    }
+}
+
+} // namespace
+
+void answerSystem(Node &node, const TickTime &time)
+{
+    node.waiters.forEach([&](WaiterRef it) {
+        if (node.waiters.get<Waiter>(it).accepted) {
+            serveAccepted(node, it, time);
+        } else {
+            serveProposed(node, it, time);
+        }
+    });
+}
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/systems/append.cpp
@@ -0,0 +1,172 @@
+#include "node_func.h"
+#include "systems/backoff.h"
+#include "systems/systems.h"
+
+#include <algorithm>
+
+namespace flamingotally
+{
+
+namespace
+{
+
+constexpr Milliseconds resendPause{100}; ///< Before the first resend; doubles with each.
+constexpr Milliseconds longestResendPause{2'000};
+constexpr Milliseconds oneSecond{1'000};
+
+/** Sends the batch in flight, for the first time or again. */
+void send(Node &node, const TickTime &time)
+{
+    auto &inFlight = *node.inFlight;
+    inFlight.sentAt = time.now;
+    inFlight.resendAt = time.now + node.settings.appendTimeout * 2;
+    node.outbox.append = inFlight.batch;
+    ++node.counters.appends;
+}
+
+/** Puts the proposals of a batch that was surely not stored back into the queue. */
+void dissolve(Node &node)
+{
+    for (const auto it : node.inFlight->proposals) {
+        if (node.proposals.contains(it)) {
+            node.proposals.get<Proposal>(it).phase = ProposalPhase::Queued;
+        }
+    }
+    node.inFlight.reset();
+}
+
+void takeAnswer(Node &node, const AppendAnswer &answer, const TickTime &time)
+{
+    if (!node.inFlight || answer.sequence != node.inFlight->batch.sequence) {
+        return;
+    }
+    auto &inFlight = *node.inFlight;
+    if (answer.outcome == AppendOutcome::Stored) {
+        inFlight.answered = true;
+        inFlight.failures = 0;
+        return;
+    }
+    ++inFlight.failures;
+    inFlight.resendAt = time.now + backoffPause(node.random, resendPause, longestResendPause, inFlight.failures);
+    if (answer.outcome == AppendOutcome::Unknown) {
+        ++inFlight.unansweredSends;
+        countRetry(node, RetryReason::AppendAnswerLost);
+        return;
+    }
+    countRetry(node, RetryReason::AppendFailed);
+    if (inFlight.unansweredSends == 0 && !inFlight.answered) {
+        node.appendedAt = inFlight.resendAt;
+        dissolve(node);
+    }
+}
+
+/** Shortest time between two appends of this daemon, so that all daemons together keep to the budget. */
+Milliseconds appendInterval(const Node &node, const TickTime &time)
+{
+    std::int64_t live = 0;
+    node.tables.daemons.forEach([&](DaemonRef it) { live += isLiveDaemon(node, it, time) ? 1 : 0; });
+    return oneSecond * std::max<std::int64_t>(live, 1) / static_cast<std::int64_t>(node.settings.appendBudget);
+}
+
+/** Queued proposals in the order in which they were made, joins first. */
+std::vector<ProposalRef> queuedProposals(const Node &node)
+{
+    std::vector<ProposalRef> queued;
+    node.proposals.forEach([&](ProposalRef it) {
+        if (node.proposals.get<Proposal>(it).phase == ProposalPhase::Queued) {
+            queued.push_back(it);
+        }
+    });
+    const auto rank = [&](ProposalRef it) {
+        const auto &row = node.proposals.get<Proposal>(it);
+        return std::pair(!std::holds_alternative<JoinDaemon>(row.command), row.order);
+    };
+    std::ranges::sort(queued, {}, rank);
+    return queued;
+}
+
+/** Tells whether the log would take a batch of this daemon: it has joined, or the batch begins with its join. */
+bool mayWrite(const Node &node, const std::vector<ProposalRef> &queued)
+{
+    const auto &first = node.proposals.get<Proposal>(queued.front());
+    return selfRef(node).isSet() || std::holds_alternative<JoinDaemon>(first.command);
+}
+
+/** When the queued proposals make a batch: at once when they fill one, else after the linger of the hastiest. */
+MonotonicTime closingTime(const Node &node, const std::vector<ProposalRef> &queued)
+{
+    std::size_t bytes = 0;
+    auto closing = MonotonicTime::max();
+    for (const auto it : queued) {
+        const auto &row = node.proposals.get<Proposal>(it);
+        const auto linger = row.urgent ? node.settings.urgentLinger : node.settings.lazyLinger;
+        bytes += row.bytes;
+        closing = std::min(closing, row.queuedAt + linger);
+    }
+    return bytes >= node.settings.batchBytes ? MonotonicTime::min() : closing;
+}
+
+/** Makes a batch of as many proposals as fit. */
+void closeBatch(Node &node, const std::vector<ProposalRef> &queued, const TickTime &time)
+{
+    BatchInFlight inFlight;
+    inFlight.batch.recordVersion = node.tables.position.recordVersion;
+    inFlight.batch.daemon = node.settings.name;
+    inFlight.batch.incarnation = node.incarnation;
+    inFlight.batch.sequence = node.nextSequence++;
+    std::size_t bytes = 0;
+    for (const auto it : queued) {
+        auto &row = node.proposals.get<Proposal>(it);
+        if (!inFlight.proposals.empty() && bytes + row.bytes > node.settings.batchBytes) {
+            break;
+        }
+        bytes += row.bytes;
+        row.phase = ProposalPhase::InFlight;
+        inFlight.batch.commands.push_back(row.command);
+        inFlight.proposals.push_back(it);
+    }
+    node.appendedAt = time.now;
+    node.counters.appendedBytes += bytes;
+    node.inFlight = std::move(inFlight);
+    send(node, time);
+}
+
+void closeWhenDue(Node &node, const TickTime &time)
+{
+    const auto queued = queuedProposals(node);
+    if (queued.empty() || !mayWrite(node, queued)) {
+        return;
+    }
+    const auto due = std::max(closingTime(node, queued), node.appendedAt + appendInterval(node, time));
+    if (time.now >= due) {
+        closeBatch(node, queued, time);
+    } else {
+        wakeBy(node, due);
+    }
+}
+
+} // namespace
+
+void appendSystem(Node &node, const TickTime &time)
+{
+    for (const auto &it : node.inbox.appendAnswers) {
+        takeAnswer(node, it, time);
+    }
+    if (node.snapshot.phase != LoadPhase::None) {
+        return;
+    }
+    if (!node.inFlight) {
+        closeWhenDue(node, time);
+        return;
+    }
+    if (node.inFlight->answered) {
+        return;
+    }
+    if (time.now >= node.inFlight->resendAt) {
+        send(node, time);
+    } else {
+        wakeBy(node, node.inFlight->resendAt);
+    }
+}
+
+} // namespace flamingotally
--- a/src/table/settings_table.h
+++ b/src/table/settings_table.h
@@ -142,6 +142,12 @@
                1'000,
                24 * hourMs,
                "How long ended jobs and their results are kept."},
+    SettingRow{"appendBudget",
+               FieldKind::Count,
+               &Settings::appendBudget,
+               1,
+               100'000,
+               "Appends a second that all daemons together may make."},
     SettingRow{
         "batchBytes", FieldKind::Bytes, &Settings::batchBytes, 1'024, 1'048'576, "Size at which a batch is closed."},
     SettingRow{"snapshotChunkBytes",
