--- a/src/net/http_error.cpp
+++ b/src/net/http_error.cpp
@@ -25,6 +25,9 @@
     body["peer"] = error.peer;
     body["text"] = text;
     body["retryAfterMs"] = error.retryAfter.count();
+    if (!error.id.empty()) {
+        body["id"] = error.id;
+    }
 
     HttpResponse response;
     response.status = error.status != 0 ? error.status : row.httpStatus;
--- a/src/net/http_error.h
+++ b/src/net/http_error.h
@@ -15,9 +15,10 @@
     std::string detail; ///< Replaces the text of the table when set.
     Milliseconds retryAfter{0}; ///< Zero when trying again is not advised.
     unsigned status = 0; ///< Replaces the status of the table when set.
+    std::string id{}; ///< Id of the job to ask about again; empty when there is none.
 };
 
-/** Makes the answer `{"error":{"reason","step","peer","text","retryAfterMs"}}`. */
+/** Makes the answer `{"error":{"reason","step","peer","text","retryAfterMs","id"}}`, the id only when there is one. */
 HttpResponse makeErrorResponse(const HttpError &error);
 
 } // namespace flamingotally
