Serve and call HTTP on one io_context

Connections are rows of a table, each served by one coroutine. A request is handed over only when it is whole; malformed, oversized and slow ones get typed errors. A drain answers all that is in hand before it closes. The client keeps connections and tells a call that was never sent from one without an answer. Property tests run with a fixed seed unless RC_PARAMS names another.

--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,251 @@
+#include "net/http_client.h"
+
+#include "core/error.h"
+#include "core/table.h"
+#include "net/endpoint.h"
+#include "table/http_table.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <utility>
+
+namespace flamingotally
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+using asio::awaitable;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+
+struct LinkTag;
+
+/** A connection to another process, in use or idle. */
+using Link = std::unique_ptr<beast::tcp_stream>;
+using LinkTable = Table<LinkTag, Link>;
+using LinkRef = LinkTable::RowRef;
+
+http::request<http::string_body> toMessage(HttpCall &call)
+{
+    const auto name = rowOf(httpMethodTable, call.method).name;
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string({name.data(), name.size()});
+    message.target(call.target);
+    message.set(http::field::host, call.address);
+    for (const auto &field : call.fields) {
+        message.set(field.name, field.value);
+    }
+    if (!call.body.empty()) {
+        message.set(http::field::content_type, call.contentType);
+    }
+    message.body() = std::move(call.body);
+    message.prepare_payload();
+    return message;
+}
+
+HttpResponse toResponse(http::response<http::string_body> message)
+{
+    HttpResponse response;
+    response.status = message.result_int();
+    response.contentType = std::string(message[http::field::content_type]);
+    for (const auto &it : message) {
+        response.fields.push_back({std::string(it.name_string()), std::string(it.value())});
+    }
+    response.body = std::move(message.body());
+    return response;
+}
+
+/** Tells whether an idle connection may be used: the other side has neither closed it nor sent anything. */
+bool isUsable(beast::tcp_stream &stream)
+{
+    auto &socket = stream.socket();
+    error_code ec;
+    socket.non_blocking(true, ec);
+    if (ec) {
+        return false;
+    }
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec == asio::error::would_block;
+}
+
+absl::Status callError(absl::StatusCode code, const HttpCall &call, std::string_view text)
+{
+    return makeError(code, call.step, call.address, text);
+}
+
+/** Error for a call that may have reached the other side. */
+absl::Status noAnswer(const HttpCall &call, const error_code &ec)
+{
+    const bool late = ec == beast::error::timeout;
+    return callError(late ? absl::StatusCode::kDeadlineExceeded : absl::StatusCode::kUnknown, call, ec.message());
+}
+
+} // namespace
+
+/** Lives until the last operation on it has ended. */
+struct HttpClient::State {
+    State(asio::io_context &context, HttpClientSettings bounds) : io(context), settings(bounds)
+    {
+    }
+
+    asio::io_context &io;
+    HttpClientSettings settings;
+    LinkTable links;
+    absl::flat_hash_map<std::string, std::vector<LinkRef>> idle; ///< By address.
+};
+
+namespace
+{
+
+using State = HttpClient::State;
+using StatePtr = std::shared_ptr<State>;
+
+/** Takes an idle connection that is still open; unset when there is none. */
+LinkRef takeIdle(State &state, const std::string &address)
+{
+    const auto it = state.idle.find(address);
+    if (it == state.idle.end()) {
+        return {};
+    }
+    auto &refs = it->second;
+    while (!refs.empty()) {
+        const auto ref = refs.back();
+        refs.pop_back();
+        if (isUsable(*state.links.get<Link>(ref))) {
+            return ref;
+        }
+        state.links.erase(ref);
+    }
+    return {};
+}
+
+/** Keeps a connection for the next call, or closes it. */
+void giveBack(State &state, const std::string &address, LinkRef ref)
+{
+    if (auto &refs = state.idle[address]; refs.size() < state.settings.idlePerAddress) {
+        state.links.get<Link>(ref)->expires_never();
+        refs.push_back(ref);
+        return;
+    }
+    state.links.erase(ref);
+}
+
+/** Sends and receives on an open connection. */
+awaitable<HttpResult> exchange(beast::tcp_stream &stream, HttpCall &call, bool &keepAlive)
+{
+    const auto message = toMessage(call);
+    if (const auto [ec, n] = co_await http::async_write(stream, message, useTuple); ec) {
+        co_return noAnswer(call, ec);
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(call.maxResponseBytes);
+    beast::flat_buffer buf;
+    if (const auto [ec, n] = co_await http::async_read(stream, buf, parser, useTuple); ec) {
+        co_return noAnswer(call, ec);
+    }
+    keepAlive = parser.get().keep_alive() && buf.size() == 0;
+    co_return toResponse(parser.release());
+}
+
+/** Opens a connection. */
+awaitable<absl::Status> connect(beast::tcp_stream &stream, const HttpCall &call)
+{
+    const auto endpoint = parseEndpoint<tcp::endpoint>(call.address);
+    if (!endpoint) {
+        co_await asio::post(stream.get_executor(), asio::use_awaitable);
+        co_return callError(absl::StatusCode::kUnavailable, call, "not an address of the form IP:port");
+    }
+    if (const auto [ec] = co_await stream.async_connect(*endpoint, useTuple); ec) {
+        co_return callError(absl::StatusCode::kUnavailable, call, ec.message());
+    }
+    error_code ignored;
+    stream.socket().set_option(tcp::no_delay(true), ignored);
+    co_return absl::OkStatus();
+}
+
+/** Makes one call. */
+awaitable<HttpResult> perform(const StatePtr &state, HttpCall &call)
+{
+    auto ref = takeIdle(*state, call.address);
+    const bool isOpen = ref.isSet();
+    if (!isOpen && state->links.size() >= state->settings.maxConnections) {
+        co_await asio::post(state->io, asio::use_awaitable);
+        co_return callError(absl::StatusCode::kUnavailable, call, "too many connections");
+    }
+    if (!isOpen) {
+        ref = state->links.insert(std::make_unique<beast::tcp_stream>(state->io));
+    }
+    auto &stream = *state->links.get<Link>(ref);
+    stream.expires_after(call.timeout);
+    if (!isOpen) {
+        if (auto status = co_await connect(stream, call); !status.ok()) {
+            state->links.erase(ref);
+            co_return status;
+        }
+    }
+    bool keepAlive = false;
+    auto result = co_await exchange(stream, call, keepAlive);
+    if (keepAlive) {
+        giveBack(*state, call.address, ref);
+    } else {
+        state->links.erase(ref);
+    }
+    co_return result;
+}
+
+awaitable<void> performAndTell(StatePtr shared, HttpCall moved, HttpCallback function)
+{
+    const StatePtr state = std::move(shared);
+    HttpCall call = std::move(moved);
+    const HttpCallback callback = std::move(function);
+    auto result = co_await perform(state, call);
+    callback(std::move(result));
+}
+
+} // namespace
+
+HttpClient::HttpClient(asio::io_context &io, HttpClientSettings settings)
+    : m_state(std::make_shared<State>(io, settings))
+{
+}
+
+HttpClient::~HttpClient()
+{
+    close();
+}
+
+void HttpClient::send(HttpCall call, HttpCallback callback)
+{
+    asio::co_spawn(m_state->io, performAndTell(m_state, std::move(call), std::move(callback)), asio::detached);
+}
+
+void HttpClient::close()
+{
+    for (const auto &[address, refs] : std::exchange(m_state->idle, {})) {
+        for (const auto ref : refs) {
+            m_state->links.erase(ref);
+        }
+    }
+    m_state->links.forEach([this](LinkRef ref) { m_state->links.get<Link>(ref)->close(); });
+}
+
+} // namespace flamingotally
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -38,9 +38,10 @@
     /** Closes all connections; calls under way fail. */
     void close();
 
-private:
     struct State;
-    std::unique_ptr<State> m_state;
+
+private:
+    std::shared_ptr<State> m_state; ///< Shared with the operations under way, which may outlive this.
 };
 
 } // namespace flamingotally
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,495 @@
+#include "net/http_server.h"
+
+#include "core/error.h"
+#include "core/table.h"
+#include "net/endpoint.h"
+#include "net/http_error.h"
+#include "net/http_target.h"
+#include "table/http_table.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <fmt/format.h>
+
+#include <optional>
+#include <utility>
+
+namespace flamingotally
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+using asio::awaitable;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t receiveBytes = 4 * 1024; ///< Read at once while a connection is idle.
+constexpr std::size_t lingerBytes = 1024 * 1024; ///< Unread rest of a refused request that is passed over.
+constexpr Milliseconds lingerTimeout{1'000};
+constexpr Milliseconds acceptBackoff{100}; ///< After an accept that failed.
+constexpr std::string_view bearerPrefix = "Bearer ";
+
+using RequestParser = http::request_parser<http::string_body>;
+
+/** What a connection is doing. */
+enum class ConnectionPhase : std::uint8_t {
+    Idle, ///< Nothing of a request has arrived.
+    Receiving,
+    InHand, ///< The handler has the request.
+    Answering,
+};
+
+/** One connection of a caller. */
+struct Connection {
+    explicit Connection(tcp::socket socket)
+        : stream(std::move(socket)), answered(stream.get_executor(), asio::steady_timer::time_point::max()),
+          deadline(stream.get_executor())
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buf;
+    asio::steady_timer answered; ///< Cancelled when the response is there.
+    asio::steady_timer deadline; ///< For the whole request to arrive. Beast's own would close the connection.
+    bool late = false; ///< The deadline has passed.
+    std::optional<HttpResponse> response;
+    std::uint64_t requestNumber = 0; ///< Tells a late answer from the one that is waited for.
+    ConnectionPhase phase = ConnectionPhase::Idle;
+};
+
+struct ConnectionTag;
+using ConnectionTable = Table<ConnectionTag, std::unique_ptr<Connection>>;
+using ConnectionRef = ConnectionTable::RowRef;
+
+HttpMethod methodOf(http::verb verb)
+{
+    const auto name = http::to_string(verb);
+    return valueNamed(httpMethodTable, {name.data(), name.size()}).value_or(HttpMethod::Other);
+}
+
+/** Error for a request that could not be read whole. */
+HttpError receiveError(const error_code &ec, bool late)
+{
+    if (ec == http::error::body_limit || ec == http::error::header_limit) {
+        return {.reason = Reason::RequestTooLarge};
+    }
+    if (late) {
+        return {.detail = "The request did not arrive in time.",
+                .status = static_cast<unsigned>(http::status::request_timeout)};
+    }
+    return {.detail = fmt::format("The request could not be parsed: {}.", ec.message())};
+}
+
+/** Whether there is nobody left to answer. */
+bool isGone(const error_code &ec)
+{
+    return ec == http::error::end_of_stream || ec == asio::error::connection_reset
+        || ec == asio::error::operation_aborted || ec == asio::error::broken_pipe;
+}
+
+/** Moves a parsed message into a request; nothing when its target is malformed. */
+std::optional<HttpRequest> toRequest(http::request<http::string_body> message)
+{
+    HttpRequest request;
+    request.method = methodOf(message.method());
+    if (!decodeTarget({message.target().data(), message.target().size()}, request)) {
+        return std::nullopt;
+    }
+    for (const auto &it : message) {
+        request.fields.push_back({std::string(it.name_string()), std::string(it.value())});
+    }
+    if (const auto value = fieldValue(request.fields, "Authorization"); value.starts_with(bearerPrefix)) {
+        request.bearer = value.substr(bearerPrefix.size());
+    }
+    request.idempotencyKey = fieldValue(request.fields, "Idempotency-Key");
+    request.body = std::move(message.body());
+    return request;
+}
+
+http::response<http::string_body> toMessage(HttpResponse response, unsigned version, bool keepAlive)
+{
+    http::response<http::string_body> message;
+    message.version(version);
+    message.result(response.status);
+    if (!response.body.empty()) {
+        message.set(http::field::content_type, response.contentType);
+    }
+    for (const auto &[name, value] : response.fields) {
+        message.set(name, value);
+    }
+    message.keep_alive(keepAlive);
+    message.body() = std::move(response.body);
+    message.prepare_payload();
+    return message;
+}
+
+/** Closes so that the peer can still read the last answer although part of its request was never read. */
+awaitable<void> closeLingering(Connection &connection)
+{
+    error_code ignored;
+    connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    connection.stream.expires_after(lingerTimeout);
+    std::size_t total = 0;
+    while (total < lingerBytes) {
+        connection.buf.clear();
+        const auto [ec, n] = co_await connection.stream.async_read_some(connection.buf.prepare(receiveBytes), useTuple);
+        if (ec) {
+            break;
+        }
+        total += n;
+    }
+    connection.stream.close();
+}
+
+} // namespace
+
+/** Lives until the last operation on it has ended. */
+struct HttpServer::State {
+    State(asio::io_context &context, HttpServerSettings bounds, HttpHandler function)
+        : io(context), settings(bounds), handler(std::move(function)), acceptor(context), acceptPause(context),
+          drainTimer(context)
+    {
+    }
+
+    asio::io_context &io;
+    HttpServerSettings settings;
+    HttpHandler handler;
+    tcp::acceptor acceptor;
+    asio::steady_timer acceptPause; ///< Cancelled when a connection has closed.
+    asio::steady_timer drainTimer;
+    ConnectionTable connections;
+    std::size_t inHand = 0;
+    bool draining = false; ///< Every answer closes its connection.
+    std::function<void()> drained;
+};
+
+namespace
+{
+
+using State = HttpServer::State;
+using StatePtr = std::shared_ptr<State>;
+
+void tellWhenDrained(State &state)
+{
+    if (state.drained && !state.acceptor.is_open() && state.connections.size() == 0) {
+        const auto drained = std::exchange(state.drained, nullptr);
+        drained();
+    }
+}
+
+/** Makes the function by which the handler answers. */
+HttpResponder makeResponder(const StatePtr &state, ConnectionRef ref, std::uint64_t number)
+{
+    return [weak = std::weak_ptr(state), ref, number](HttpResponse response) {
+        const auto strong = weak.lock();
+        if (!strong || !strong->connections.contains(ref)) {
+            return;
+        }
+        auto &connection = *strong->connections.get<std::unique_ptr<Connection>>(ref);
+        if (connection.requestNumber != number || connection.response) {
+            return;
+        }
+        connection.response = std::move(response);
+        connection.answered.cancel();
+    };
+}
+
+/** Hands a request over and waits for its answer; nothing when the server closes first. */
+awaitable<std::optional<HttpResponse>>
+handOver(const StatePtr &state, ConnectionRef ref, Connection &connection, HttpRequest request)
+{
+    connection.phase = ConnectionPhase::InHand;
+    connection.response.reset();
+    const auto number = ++connection.requestNumber;
+    ++state->inHand;
+    state->handler(std::move(request), makeResponder(state, ref, number));
+    if (!connection.response) {
+        co_await connection.answered.async_wait(useTuple);
+    }
+    --state->inHand;
+    ++connection.requestNumber;
+    co_return std::exchange(connection.response, std::nullopt);
+}
+
+/** Ends the reading of a request that takes too long. */
+void startDeadline(const StatePtr &state, ConnectionRef ref, Connection &connection)
+{
+    connection.late = false;
+    connection.stream.expires_never();
+    connection.deadline.expires_after(state->settings.requestTimeout);
+    connection.deadline.async_wait([weak = std::weak_ptr(state), ref](const error_code &ec) {
+        const auto strong = weak.lock();
+        if (ec || !strong || !strong->connections.contains(ref)) {
+            return;
+        }
+        auto &it = *strong->connections.get<std::unique_ptr<Connection>>(ref);
+        const bool isDue = it.deadline.expiry() <= asio::steady_timer::clock_type::now();
+        if (isDue && it.phase == ConnectionPhase::Receiving) {
+            it.late = true;
+            it.stream.cancel();
+        }
+    });
+}
+
+/** Waits for the first byte of the next request. */
+awaitable<bool> awaitRequest(const StatePtr &state, ConnectionRef ref, Connection &connection)
+{
+    connection.phase = ConnectionPhase::Idle;
+    if (connection.buf.size() == 0) {
+        connection.stream.expires_after(state->settings.idleTimeout);
+        const auto [ec, n] = co_await connection.stream.async_read_some(connection.buf.prepare(receiveBytes), useTuple);
+        if (ec) {
+            co_return false;
+        }
+        connection.buf.commit(n);
+    }
+    connection.phase = ConnectionPhase::Receiving;
+    startDeadline(state, ref, connection);
+    co_return true;
+}
+
+/** Reads one request whole, and asks for its body when the caller waits to be asked. */
+awaitable<error_code> readRequest(Connection &connection, RequestParser &parser)
+{
+    const auto [headerError, headerBytes] =
+        co_await http::async_read_header(connection.stream, connection.buf, parser, useTuple);
+    if (headerError || parser.is_done()) {
+        co_return headerError;
+    }
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        http::response<http::empty_body> goOn(http::status::continue_, parser.get().version());
+        const auto [ec, n] = co_await http::async_write(connection.stream, goOn, useTuple);
+        if (ec) {
+            co_return ec;
+        }
+    }
+    const auto [ec, n] = co_await http::async_read(connection.stream, connection.buf, parser, useTuple);
+    co_return ec;
+}
+
+/** Sends an answer. */
+awaitable<bool>
+sendResponse(const StatePtr &state, Connection &connection, http::response<http::string_body> &message, bool headOnly)
+{
+    connection.phase = ConnectionPhase::Answering;
+    connection.stream.expires_after(state->settings.writeTimeout);
+    http::response_serializer<http::string_body> serializer(message);
+    if (headOnly) {
+        const auto [ec, n] = co_await http::async_write_header(connection.stream, serializer, useTuple);
+        co_return !ec;
+    }
+    const auto [ec, n] = co_await http::async_write(connection.stream, serializer, useTuple);
+    co_return !ec;
+}
+
+/**
+ * Serves one request.
+ * @return Whether the connection takes another one.
+ */
+awaitable<bool> serveRequest(const StatePtr &state, ConnectionRef ref, Connection &connection)
+{
+    if (!co_await awaitRequest(state, ref, connection)) {
+        co_return false;
+    }
+    RequestParser parser;
+    parser.header_limit(static_cast<std::uint32_t>(state->settings.maxHeaderBytes));
+    parser.body_limit(state->settings.maxBodyBytes);
+    const error_code ec = co_await readRequest(connection, parser);
+    connection.deadline.cancel();
+    if (isGone(ec) && !connection.late) {
+        co_return false;
+    }
+    const unsigned version = parser.get().version() == 10 ? 10 : 11;
+    const bool headOnly = !ec && parser.get().method() == http::verb::head;
+    bool keepAlive = !ec && parser.get().keep_alive();
+    std::optional<HttpResponse> response;
+    if (ec) {
+        response = makeErrorResponse(receiveError(ec, connection.late));
+    } else if (auto request = toRequest(parser.release())) {
+        response = co_await handOver(state, ref, connection, std::move(*request));
+    } else {
+        response = makeErrorResponse({.detail = "The target of the request is malformed."});
+    }
+    if (!response) {
+        co_return false;
+    }
+    keepAlive = keepAlive && !state->draining;
+    auto message = toMessage(std::move(*response), version, keepAlive);
+    const bool sent = co_await sendResponse(state, connection, message, headOnly);
+    const bool takesMore = sent && keepAlive;
+    co_return takesMore;
+}
+
+awaitable<void> serveConnection(StatePtr shared, ConnectionRef ref)
+{
+    const StatePtr state = std::move(shared);
+    Connection &connection = *state->connections.get<std::unique_ptr<Connection>>(ref);
+    while (co_await serveRequest(state, ref, connection)) { }
+    co_await closeLingering(connection);
+    state->connections.erase(ref);
+    state->acceptPause.cancel();
+    tellWhenDrained(*state);
+}
+
+void addConnection(const StatePtr &state, tcp::socket socket)
+{
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    const auto ref = state->connections.insert(std::make_unique<Connection>(std::move(socket)));
+    asio::co_spawn(state->io, serveConnection(state, ref), asio::detached);
+}
+
+awaitable<void> acceptConnections(StatePtr shared)
+{
+    const StatePtr state = std::move(shared);
+    while (state->acceptor.is_open()) {
+        if (state->connections.size() >= state->settings.maxConnections) {
+            state->acceptPause.expires_at(asio::steady_timer::time_point::max());
+            co_await state->acceptPause.async_wait(useTuple);
+            continue;
+        }
+        auto [ec, socket] = co_await state->acceptor.async_accept(useTuple);
+        if (!ec) {
+            addConnection(state, std::move(socket));
+            continue;
+        }
+        if (state->acceptor.is_open()) {
+            state->acceptPause.expires_after(acceptBackoff);
+            co_await state->acceptPause.async_wait(useTuple);
+        }
+    }
+}
+
+/** Takes connections that are complete in the kernel's queue, so that closing the acceptor cuts none. */
+void acceptQueued(const StatePtr &state)
+{
+    error_code ec;
+    state->acceptor.non_blocking(true, ec);
+    while (!ec) {
+        tcp::socket socket(state->io);
+        state->acceptor.accept(socket, ec);
+        if (!ec) {
+            addConnection(state, std::move(socket));
+        }
+    }
+}
+
+/** Ends the waits of connections on which no request is under way. */
+void closeIdle(State &state)
+{
+    state.connections.forEach([&state](ConnectionRef ref) {
+        auto &connection = *state.connections.get<std::unique_ptr<Connection>>(ref);
+        error_code ec;
+        const bool hasBytes = connection.stream.socket().available(ec) > 0;
+        if (connection.phase == ConnectionPhase::Idle && !hasBytes) {
+            connection.stream.cancel();
+        }
+    });
+}
+
+awaitable<void> drainServer(StatePtr shared)
+{
+    const StatePtr state = std::move(shared);
+    state->drainTimer.expires_after(state->settings.drainGrace);
+    co_await state->drainTimer.async_wait(useTuple);
+    if (state->acceptor.is_open()) {
+        acceptQueued(state);
+        error_code ignored;
+        state->acceptor.close(ignored);
+        state->acceptPause.cancel();
+    }
+    closeIdle(*state);
+    tellWhenDrained(*state);
+}
+
+} // namespace
+
+HttpServer::HttpServer(asio::io_context &io, HttpServerSettings settings, HttpHandler handler)
+    : m_state(std::make_shared<State>(io, settings, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    close();
+}
+
+absl::Status HttpServer::listen(const std::string &address)
+{
+    const auto endpoint = parseEndpoint<tcp::endpoint>(address);
+    if (!endpoint) {
+        return makeError(
+            absl::StatusCode::kInvalidArgument, Step::Listen, address, "not an address of the form IP:port");
+    }
+    auto &acceptor = m_state->acceptor;
+    error_code ec;
+    acceptor.open(endpoint->protocol(), ec);
+    if (!ec) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    }
+    if (!ec) {
+        acceptor.bind(*endpoint, ec);
+    }
+    if (!ec) {
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec) {
+        return makeError(absl::StatusCode::kUnavailable, Step::Listen, address, ec.message());
+    }
+    asio::co_spawn(m_state->io, acceptConnections(m_state), asio::detached);
+    return absl::OkStatus();
+}
+
+std::string HttpServer::address() const
+{
+    error_code ignored;
+    return endpointText(m_state->acceptor.local_endpoint(ignored));
+}
+
+void HttpServer::drain(std::function<void()> drained)
+{
+    m_state->draining = true;
+    m_state->drained = std::move(drained);
+    asio::co_spawn(m_state->io, drainServer(m_state), asio::detached);
+}
+
+void HttpServer::close()
+{
+    error_code ignored;
+    m_state->draining = true;
+    m_state->acceptor.close(ignored);
+    m_state->acceptPause.cancel();
+    m_state->drainTimer.cancel();
+    m_state->connections.forEach([this](ConnectionRef ref) {
+        auto &connection = *m_state->connections.get<std::unique_ptr<Connection>>(ref);
+        connection.answered.cancel();
+        connection.stream.close();
+    });
+}
+
+std::size_t HttpServer::connectionCount() const
+{
+    return m_state->connections.size();
+}
+
+std::size_t HttpServer::requestsInHand() const
+{
+    return m_state->inHand;
+}
+
+} // namespace flamingotally
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -63,9 +63,10 @@
     /** Requests that were handed over and not answered yet. */
     std::size_t requestsInHand() const;
 
-private:
     struct State;
-    std::unique_ptr<State> m_state;
+
+private:
+    std::shared_ptr<State> m_state; ///< Shared with the operations under way, which may outlive this.
 };
 
 } // namespace flamingotally
--- a/src/net/http_type.h
+++ b/src/net/http_type.h
@@ -37,20 +37,20 @@
 /** A request as it arrived. */
 struct HttpRequest {
     HttpMethod method = HttpMethod::Get;
-    std::string path; ///< Without the query, decoded.
-    std::vector<HttpField> query; ///< Decoded, in order.
-    std::vector<HttpField> fields; ///< Header fields.
-    std::string bearer; ///< The key of "Authorization: Bearer"; empty when there is none.
-    std::string idempotencyKey; ///< Value of "Idempotency-Key"; empty when there is none.
-    std::string body;
+    std::string path{}; ///< Without the query, decoded.
+    std::vector<HttpField> query{}; ///< Decoded, in order.
+    std::vector<HttpField> fields{}; ///< Header fields.
+    std::string bearer{}; ///< The key of "Authorization: Bearer"; empty when there is none.
+    std::string idempotencyKey{}; ///< Value of "Idempotency-Key"; empty when there is none.
+    std::string body{};
 };
 
 /** An answer, sent or received. The server adds the length and the fields on the connection itself. */
 struct HttpResponse {
     unsigned status = 200;
     std::string contentType = "application/json";
-    std::vector<HttpField> fields; ///< Further header fields.
-    std::string body;
+    std::vector<HttpField> fields{}; ///< Further header fields.
+    std::string body{};
 };
 
 /** Answers one request, at once or later, exactly once. Does nothing when the caller has gone. */
@@ -61,12 +61,12 @@
 
 /** A request to another process. */
 struct HttpCall {
-    std::string address; ///< "IP:port".
+    std::string address{}; ///< "IP:port".
     HttpMethod method = HttpMethod::Get;
-    std::string target; ///< Path and query, encoded.
-    std::vector<HttpField> fields; ///< Header fields.
+    std::string target{}; ///< Path and query, encoded.
+    std::vector<HttpField> fields{}; ///< Header fields.
     std::string contentType = "application/json"; ///< Of the body, when there is one.
-    std::string body;
+    std::string body{};
     Milliseconds timeout{2'000}; ///< For all of connecting, sending and receiving.
     std::size_t maxResponseBytes = 4 * 1024 * 1024;
     Step step = Step::Sync; ///< Step that an error will bear.
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -13,6 +13,7 @@
 
 int main(int argc, char **argv)
 {
+    setenv("RC_PARAMS", "seed=1", 0);
     CppUnit::TestResult controller;
     CppUnit::TestResultCollector results;
     CppUnit::TextTestProgressListener progress;
--- /dev/null
+++ b/tests/net_fixture.h
@@ -0,0 +1,80 @@
+/** @file net_fixture.h What tests of net/ share: one io_context, and callers that speak HTTP well or badly. */
+#pragma once
+
+#include "net/endpoint.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/TestAssert.h>
+
+#include <optional>
+#include <utility>
+
+namespace flamingotally
+{
+
+constexpr const char *anyLoopbackPort = "127.0.0.1:0";
+
+/** Runs events until something holds; fails when no event is left. */
+template<typename Condition>
+void runUntil(boost::asio::io_context &io, Condition holds)
+{
+    io.restart();
+    while (!holds()) {
+        CPPUNIT_ASSERT_MESSAGE("no event is left", io.run_one() > 0);
+    }
+}
+
+/** Makes a call and waits for its result. */
+inline HttpResult callAndWait(boost::asio::io_context &io, HttpClient &client, HttpCall call)
+{
+    std::optional<HttpResult> result;
+    client.send(std::move(call), [&result](HttpResult arrived) { result = std::move(arrived); });
+    runUntil(io, [&result] { return result.has_value(); });
+    return std::move(*result);
+}
+
+/** A caller that sends bytes as they are. */
+class RawCaller
+{
+public:
+    RawCaller(boost::asio::io_context &io, const std::string &address) : m_io(io), m_socket(io)
+    {
+        m_socket.connect(*parseEndpoint<boost::asio::ip::tcp::endpoint>(address));
+    }
+
+    void send(const std::string &bytes)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), ignored);
+    }
+
+    /** Ends the caller's side of the connection. */
+    void finish()
+    {
+        boost::system::error_code ignored;
+        m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+
+    /** All that arrives until the other side closes. */
+    std::string readToEnd()
+    {
+        std::string received;
+        bool ended = false;
+        boost::asio::async_read(m_socket,
+                                boost::asio::dynamic_buffer(received),
+                                [&ended](const boost::system::error_code &, std::size_t) { ended = true; });
+        runUntil(m_io, [&ended] { return ended; });
+        return received;
+    }
+
+private:
+    boost::asio::io_context &m_io;
+    boost::asio::ip::tcp::socket m_socket;
+};
+
+} // namespace flamingotally
--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,283 @@
+/** @file net_test.cpp The HTTP server and client: whole answers, bad input, shutdown. */
+#include "core/error.h"
+#include "net_fixture.h"
+
+#include <boost/asio/post.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <fmt/format.h>
+
+using namespace flamingotally;
+
+class NetTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(NetTest);
+    CPPUNIT_TEST(requestArrivesWhole);
+    CPPUNIT_TEST(lateAnswersReachTheirOwnCallers);
+    CPPUNIT_TEST(connectionIsKept);
+    CPPUNIT_TEST(refusedConnectionWasNeverSent);
+    CPPUNIT_TEST(closedWithoutAnswerIsUnknown);
+    CPPUNIT_TEST(silentServerTimesOut);
+    CPPUNIT_TEST(staleIdleConnectionIsNotUsed);
+    CPPUNIT_TEST(largeBodyIsRefused);
+    CPPUNIT_TEST(largeHeaderIsRefused);
+    CPPUNIT_TEST(malformedRequestIsRefused);
+    CPPUNIT_TEST(truncatedRequestNeverReachesTheHandler);
+    CPPUNIT_TEST(slowCallerIsTimedOut);
+    CPPUNIT_TEST(callerIsAskedForItsBody);
+    CPPUNIT_TEST(drainAnswersRequestsInHand);
+    CPPUNIT_TEST(drainClosesIdleConnections);
+    CPPUNIT_TEST(anyBytesLeaveTheServerServing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_io = std::make_unique<boost::asio::io_context>(1);
+        m_client = std::make_unique<HttpClient>(*m_io);
+        m_requests.clear();
+        m_responders.clear();
+        m_answersAtOnce = true;
+    }
+
+    void tearDown() override
+    {
+        m_responders.clear();
+        m_client.reset();
+        m_server.reset();
+        m_io.reset();
+    }
+
+    void requestArrivesWhole()
+    {
+        startServer();
+        const std::string body(100'000, 'x');
+        const auto result = call({.method = HttpMethod::Post,
+                                  .target = "/v1/a%20b?x=1&y=%26",
+                                  .fields = {{"Authorization", "Bearer secret"}, {"Idempotency-Key", "id"}},
+                                  .body = body});
+        CPPUNIT_ASSERT(result.ok());
+        CPPUNIT_ASSERT_EQUAL(200U, result->status);
+        CPPUNIT_ASSERT_EQUAL(std::string("answer 0"), result->body);
+        const auto &request = m_requests.at(0);
+        CPPUNIT_ASSERT(request.method == HttpMethod::Post);
+        CPPUNIT_ASSERT_EQUAL(std::string("/v1/a b"), request.path);
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), std::string(fieldValue(request.query, "x")));
+        CPPUNIT_ASSERT_EQUAL(std::string("&"), std::string(fieldValue(request.query, "y")));
+        CPPUNIT_ASSERT_EQUAL(std::string("secret"), request.bearer);
+        CPPUNIT_ASSERT_EQUAL(std::string("id"), request.idempotencyKey);
+        CPPUNIT_ASSERT_EQUAL(body, request.body);
+    }
+
+    void lateAnswersReachTheirOwnCallers()
+    {
+        startServer();
+        m_answersAtOnce = false;
+        constexpr std::size_t callers = 20;
+        std::vector<std::string> answers(callers);
+        std::size_t answered = 0;
+        for (std::size_t n = 0; n < callers; ++n) {
+            m_client->send(callTo({.method = HttpMethod::Post, .target = "/", .body = std::to_string(n)}),
+                           [&answers, &answered, n](const HttpResult &result) {
+                               answers[n] = result->body;
+                               ++answered;
+                           });
+        }
+        runUntil(*m_io, [this] { return m_responders.size() == callers; });
+        for (std::size_t n = callers; n > 0; --n) {
+            m_responders[n - 1]({.body = "for " + m_requests[n - 1].body});
+        }
+        runUntil(*m_io, [&answered] { return answered == callers; });
+        for (std::size_t n = 0; n < callers; ++n) {
+            CPPUNIT_ASSERT_EQUAL(fmt::format("for {}", n), answers[n]);
+        }
+    }
+
+    void connectionIsKept()
+    {
+        startServer();
+        for (int n = 0; n < 3; ++n) {
+            CPPUNIT_ASSERT(call({.target = "/"}).ok());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_server->connectionCount());
+    }
+
+    void refusedConnectionWasNeverSent()
+    {
+        startServer();
+        const auto address = m_server->address();
+        m_server->close();
+        const auto result = callAndWait(*m_io, *m_client, {.address = address, .step = Step::Append});
+        CPPUNIT_ASSERT(wasNeverSent(result.status()));
+        CPPUNIT_ASSERT(stepOf(result.status()) == Step::Append);
+        CPPUNIT_ASSERT_EQUAL(address, peerOf(result.status()));
+    }
+
+    void closedWithoutAnswerIsUnknown()
+    {
+        startServer();
+        m_answersAtOnce = false;
+        std::optional<HttpResult> result;
+        m_client->send(callTo({.target = "/"}), [&result](HttpResult arrived) { result = std::move(arrived); });
+        runUntil(*m_io, [this] { return !m_responders.empty(); });
+        m_server->close();
+        runUntil(*m_io, [&result] { return result.has_value(); });
+        CPPUNIT_ASSERT(!result->ok());
+        CPPUNIT_ASSERT(!wasNeverSent(result->status()));
+    }
+
+    void silentServerTimesOut()
+    {
+        startServer();
+        m_answersAtOnce = false;
+        const auto result = call({.target = "/", .timeout = Milliseconds{20}});
+        CPPUNIT_ASSERT(result.status().code() == absl::StatusCode::kDeadlineExceeded);
+        m_responders.at(0)({.body = "too late"});
+        m_answersAtOnce = true;
+        CPPUNIT_ASSERT_EQUAL(std::string("answer 1"), call({.target = "/"})->body);
+    }
+
+    void staleIdleConnectionIsNotUsed()
+    {
+        startServer({.idleTimeout = Milliseconds{5}});
+        CPPUNIT_ASSERT(call({.target = "/"}).ok());
+        runUntil(*m_io, [this] { return m_server->connectionCount() == 0; });
+        CPPUNIT_ASSERT(call({.target = "/"}).ok());
+    }
+
+    void largeBodyIsRefused()
+    {
+        startServer({.maxBodyBytes = 10});
+        const auto result = call({.method = HttpMethod::Post, .target = "/", .body = std::string(1'000'000, 'x')});
+        CPPUNIT_ASSERT(result.ok());
+        CPPUNIT_ASSERT_EQUAL(413U, result->status);
+        CPPUNIT_ASSERT(result->body.find("\"reason\":\"request_too_large\"") != std::string::npos);
+        CPPUNIT_ASSERT(m_requests.empty());
+    }
+
+    void largeHeaderIsRefused()
+    {
+        startServer({.maxHeaderBytes = 200});
+        const auto result = call({.target = "/", .fields = {{"X-Large", std::string(1'000, 'x')}}});
+        CPPUNIT_ASSERT(result.ok());
+        CPPUNIT_ASSERT_EQUAL(413U, result->status);
+    }
+
+    void malformedRequestIsRefused()
+    {
+        startServer();
+        for (const std::string bytes :
+             {"nonsense\r\n\r\n", "GET %zz HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nbad\r\n\r\n"}) {
+            RawCaller caller(*m_io, m_server->address());
+            caller.send(bytes);
+            caller.finish();
+            const auto answer = caller.readToEnd();
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 400"));
+            CPPUNIT_ASSERT(answer.find("\"reason\":\"malformed_request\"") != std::string::npos);
+        }
+        CPPUNIT_ASSERT(m_requests.empty());
+    }
+
+    void truncatedRequestNeverReachesTheHandler()
+    {
+        startServer();
+        RawCaller caller(*m_io, m_server->address());
+        caller.send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
+        caller.finish();
+        CPPUNIT_ASSERT(caller.readToEnd().starts_with("HTTP/1.1 400"));
+        CPPUNIT_ASSERT(m_requests.empty());
+    }
+
+    void slowCallerIsTimedOut()
+    {
+        startServer({.requestTimeout = Milliseconds{20}});
+        RawCaller caller(*m_io, m_server->address());
+        caller.send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
+        CPPUNIT_ASSERT(caller.readToEnd().starts_with("HTTP/1.1 408"));
+        CPPUNIT_ASSERT(m_requests.empty());
+    }
+
+    void callerIsAskedForItsBody()
+    {
+        startServer();
+        RawCaller caller(*m_io, m_server->address());
+        caller.send("POST / HTTP/1.1\r\nConnection: close\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\nbody");
+        CPPUNIT_ASSERT(caller.readToEnd().starts_with("HTTP/1.1 100"));
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), m_requests.at(0).body);
+    }
+
+    void drainAnswersRequestsInHand()
+    {
+        startServer({.drainGrace = Milliseconds{1}});
+        m_answersAtOnce = false;
+        std::optional<HttpResult> result;
+        m_client->send(callTo({.target = "/"}), [&result](HttpResult arrived) { result = std::move(arrived); });
+        runUntil(*m_io, [this] { return !m_responders.empty(); });
+        bool drained = false;
+        m_server->drain([&drained] { drained = true; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_server->requestsInHand());
+        m_responders.at(0)({.body = "whole"});
+        runUntil(*m_io, [&] { return result.has_value() && drained; });
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), (*result)->body);
+        CPPUNIT_ASSERT_EQUAL(std::string("close"), std::string(fieldValue((*result)->fields, "Connection")));
+        CPPUNIT_ASSERT(wasNeverSent(call({.target = "/"}).status()));
+    }
+
+    void drainClosesIdleConnections()
+    {
+        startServer({.drainGrace = Milliseconds{1}});
+        CPPUNIT_ASSERT(call({.target = "/"}).ok());
+        bool drained = false;
+        m_server->drain([&drained] { drained = true; });
+        runUntil(*m_io, [&drained] { return drained; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_server->connectionCount());
+    }
+
+    void anyBytesLeaveTheServerServing()
+    {
+        startServer();
+        const bool holds = rc::check("any bytes leave the server serving", [this](const std::string &bytes) {
+            RawCaller caller(*m_io, m_server->address());
+            caller.send(bytes);
+            caller.finish();
+            caller.readToEnd();
+            RC_ASSERT(call({.target = "/"}).ok());
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
+private:
+    void startServer(HttpServerSettings settings = {})
+    {
+        m_server = std::make_unique<HttpServer>(*m_io, settings, [this](HttpRequest request, HttpResponder responder) {
+            if (m_answersAtOnce) {
+                responder({.contentType = "text/plain", .body = fmt::format("answer {}", m_requests.size())});
+            } else {
+                m_responders.push_back(std::move(responder));
+            }
+            m_requests.push_back(std::move(request));
+        });
+        CPPUNIT_ASSERT(m_server->listen(anyLoopbackPort).ok());
+    }
+
+    HttpCall callTo(HttpCall call) const
+    {
+        call.address = m_server->address();
+        return call;
+    }
+
+    HttpResult call(HttpCall call)
+    {
+        return callAndWait(*m_io, *m_client, callTo(std::move(call)));
+    }
+
+    std::unique_ptr<boost::asio::io_context> m_io;
+    std::unique_ptr<HttpClient> m_client;
+    std::unique_ptr<HttpServer> m_server;
+    std::vector<HttpRequest> m_requests;
+    std::vector<HttpResponder> m_responders;
+    bool m_answersAtOnce = true;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NetTest);
