--- /dev/null
+++ b/tests/fakes/cell.cpp
@@ -0,0 +1,227 @@
+#include "fakes/cell.h"
+
+#include "core/digest.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace flamingotally::fakes
+{
+
+namespace
+{
+
+constexpr Milliseconds longestSlice{250}; ///< Longest time between two checks.
+constexpr Milliseconds starting{5'000};
+constexpr Milliseconds configuring{500};
+constexpr Milliseconds settling{20'000}; ///< After the end of all faults.
+constexpr Milliseconds endSlice{5'000};
+constexpr int endSlices = 60; ///< Slices within which all work has to end.
+constexpr Milliseconds retention{120'000};
+
+std::vector<ProfileRow> makeProfiles()
+{
+    using namespace std::chrono_literals;
+    ProfileSpec batch;
+    batch.maxRetries = 3;
+    batch.lease = 5s;
+    auto once = batch;
+    once.idempotent = false;
+    once.maxRetries = 0;
+    auto request = once;
+    request.kind = WorkKind::Request;
+    request.urgency = Urgency::Urgent;
+    request.maxWait = 4s;
+    auto service = batch;
+    service.kind = WorkKind::Service;
+    auto gang = batch;
+    gang.kind = WorkKind::Gang;
+    auto open = batch;
+    open.access = QueueAccess::Open;
+    open.team = teamNames[0];
+    auto kept = batch;
+    kept.whenCutOff = CutOffRule::Keep;
+    auto movable = batch;
+    movable.checkpoint = true;
+    movable.urgency = Urgency::Background;
+    auto bounded = batch;
+    bounded.maxRun = 2s;
+    return {{"batch", batch},
+            {"once", once},
+            {"request", request},
+            {"service", service},
+            {"gang", gang},
+            {"open", open},
+            {"kept", kept},
+            {"movable", movable},
+            {"bounded", bounded}};
+}
+
+/** Version of a team or a profile as an operator sees it; zero when there is none. */
+template<typename Row, typename Table, typename Map>
+std::uint64_t versionShown(const Table &table, const Map &names, const std::string &name)
+{
+    const auto row = findRef(names, name);
+    return row.isSet() ? table.template get<Row>(row).version : 0;
+}
+
+/** Tables of a daemon that serves, else empty ones. */
+const Tables &shownTables(const World &world)
+{
+    static const Tables none;
+    const auto daemon = world.servingDaemon();
+    return daemon == world.daemons.size() ? none : world.daemons[daemon].node->tables;
+}
+
+} // namespace
+
+const std::vector<ProfileRow> &cellProfiles()
+{
+    static const std::vector<ProfileRow> rows = makeProfiles();
+    return rows;
+}
+
+Cell::Cell(const WorldLayout &layout) : world(layout), oracle(world)
+{
+    setUp();
+}
+
+void Cell::setUp()
+{
+    world.log.faults.retention = retention;
+    world.runFor(starting);
+    for (const auto *it : teamNames) {
+        setLimit(0, it, ampleCores);
+    }
+    pass(configuring);
+    for (std::uint8_t n = 0; n < teamNames.size(); ++n) {
+        grant(0, teamNames[n], n, teamNames[n]);
+    }
+    for (const auto &it : cellProfiles()) {
+        publish(0, it);
+    }
+    pass(configuring);
+}
+
+void Cell::pass(Milliseconds time)
+{
+    while (time > Milliseconds{0}) {
+        const auto slice = std::min(time, longestSlice);
+        world.runFor(slice);
+        oracle.check();
+        time -= slice;
+    }
+}
+
+std::size_t Cell::change(std::size_t daemon, Command command)
+{
+    return world.call(daemon % world.daemons.size(), operatorKey(), ConfigAction{std::move(command)});
+}
+
+std::size_t Cell::setLimit(std::size_t daemon, const std::string &team, std::int64_t cores)
+{
+    SetTeam set;
+    set.name = team;
+    set.policy.limit = {cores * 1'000, cores * 2'048, 8};
+    set.policy.queueLimit = 100;
+    const auto &tables = shownTables(world);
+    set.expectedVersion = versionShown<TeamPolicy>(tables.teams, tables.lookups.teams, team);
+    return change(daemon, set);
+}
+
+std::size_t Cell::publish(std::size_t daemon, const ProfileRow &profile)
+{
+    PublishProfile publish;
+    publish.name = profile.name;
+    publish.spec = profile.spec;
+    const auto &tables = shownTables(world);
+    publish.expectedVersion = versionShown<ProfileIdentity>(tables.profiles, tables.lookups.profiles, publish.name);
+    return change(daemon, publish);
+}
+
+std::size_t Cell::grant(std::size_t daemon, const std::string &label, std::uint8_t number, const std::string &team)
+{
+    return change(daemon, GrantKey{{}, label, testKey(number), team, KeyRole::Submitter});
+}
+
+std::size_t Cell::setDomain(std::size_t daemon, std::size_t domain, DomainService service)
+{
+    SetDomain set;
+    set.name = World::domainName(domain);
+    set.service = service;
+    return change(daemon, set);
+}
+
+std::size_t Cell::submit(std::size_t daemon, std::optional<KeyDigest> key, const SubmitAction &action)
+{
+    submissions.push_back(world.call(daemon % world.daemons.size(), key, action));
+    return submissions.back();
+}
+
+SubmitAction Cell::makeSubmission(std::string_view profile, Task task)
+{
+    SubmitAction action;
+    task.serial = ++m_serial;
+    action.profile = profile;
+    action.payload = payloadOf(task);
+    action.bodyDigest = digestOfBytes(action.payload);
+    return action;
+}
+
+/** Services run until they are cancelled; all else has to end by itself. */
+void Cell::cancelServices()
+{
+    const auto daemon = world.servingDaemon();
+    const auto calls = std::exchange(submissions, {});
+    for (const auto it : calls) {
+        const auto request = world.journal.calls[it].answer.request;
+        const auto &submit = std::get<SubmitAction>(world.journal.calls[it].request.action);
+        const bool isService = taskOf(submit.payload).runTime < Milliseconds{0};
+        const auto view = isService && daemon != world.daemons.size() ? world.showJob(daemon, request) : std::nullopt;
+        if (view && view->outcome == Outcome::None) {
+            world.call(daemon, operatorKey(), CancelAction{request});
+            submissions.push_back(it);
+        }
+    }
+}
+
+void Cell::finish()
+{
+    world.endFaults();
+    pass(settling);
+    oracle.settle();
+    for (std::size_t n = 0; n < world.layout().domains; ++n) {
+        setDomain(0, n, DomainService::In);
+    }
+    for (const auto *it : teamNames) {
+        setLimit(0, it, ampleCores);
+    }
+    pass(settling);
+    for (int n = 0; n < endSlices && !allEnded(); ++n) {
+        cancelServices();
+        pass(endSlice);
+    }
+    oracle.checkEnds();
+}
+
+bool Cell::allEnded() const
+{
+    const auto daemon = world.servingDaemon();
+    const auto hasEnded = [&](const RequestId &it) {
+        const auto view = world.showJob(daemon, it);
+        return view && view->outcome != Outcome::None;
+    };
+    return daemon != world.daemons.size() && std::ranges::all_of(oracle.accepted(), hasEnded);
+}
+
+std::string Cell::verdict() const
+{
+    std::string text;
+    for (const auto &it : oracle.violations()) {
+        text += fmt::format("{:>8} {}: {}\n", it.at.count(), nameOf(it.promise), it.what);
+    }
+    return text;
+}
+
+} // namespace flamingotally::fakes
--- a/tests/fakes/fake_worker.cpp
+++ b/tests/fakes/fake_worker.cpp
@@ -94,7 +94,9 @@
     }
     for (const auto &it : sync.stops) {
         if (m_active.contains(it.attempt)) {
-            end(it.attempt, it.checkpoint ? Outcome::Checkpointed : Outcome::Cancelled);
+            if (!it.onlyBeforeStart) {
+                end(it.attempt, it.checkpoint ? Outcome::Checkpointed : Outcome::Cancelled);
+            }
         } else if (m_taken.insert(it.attempt).second) {
             report(it.attempt, Outcome::NeverStarted, {}); // its start can no longer be taken
         }
--- a/tests/fakes/fake_worker.h
+++ b/tests/fakes/fake_worker.h
@@ -66,7 +66,7 @@
         return m_up;
     }
 
-    bool leaving = false; ///< Marked on the platform's list.
+    Milliseconds leavingSince = notYet; ///< Marked as leaving on the platform's list since then.
     bool failsAll = false; ///< Fails everything it starts.
     Milliseconds clockOffset{0}; ///< Of its own clock.
 
--- /dev/null
+++ b/tests/fakes/oracle.cpp
@@ -0,0 +1,491 @@
+#include "fakes/oracle.h"
+
+#include "core/digest.h"
+#include "core/enum_table.h"
+#include "table/reason_table.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace flamingotally::fakes
+{
+
+namespace
+{
+
+constexpr EnumTable<Promise> promiseTable{{
+    {Promise::NoHostOvercommitted, "no host overcommitted"},
+    {Promise::NoTaskInTwoPlaces, "no task in two places"},
+    {Promise::KeyDecidesTeam, "work only for the team of the key"},
+    {Promise::LimitHolds, "no team above its limit"},
+    {Promise::NoStartInDomainOut, "no start in a domain out of service"},
+    {Promise::WholeOwnAnswer, "whole answer to the own request"},
+    {Promise::NotRunIsTrue, "not run is true"},
+    {Promise::AtMostOnce, "non-idempotent at most once"},
+    {Promise::LeavingGetsNoWork, "leaving target gets no new work"},
+    {Promise::StopCutsNothing, "planned stop cuts no request"},
+    {Promise::ConfigurationHolds, "configuration in force and never reverted"},
+    {Promise::WorkReachesEnd, "accepted work reaches an end"},
+}};
+static_assert(isComplete(promiseTable));
+
+constexpr Milliseconds margin{1'000}; ///< Allowed beyond the fence and the slack of a start.
+constexpr Milliseconds slowAppend{100}; ///< Latency of an append from which the log is in trouble.
+
+/** Item and value that a command of an operator is about. */
+struct ItemValue {
+    std::string item;
+    std::uint64_t value = 0;
+};
+
+std::uint64_t valueOf(bool flag)
+{
+    return flag ? 1 : 0;
+}
+
+ItemValue itemOf(const Command &command)
+{
+    if (const auto *team = std::get_if<SetTeam>(&command)) {
+        return {"team " + team->name, digestOf(team->policy.limit)};
+    }
+    if (const auto *grant = std::get_if<GrantKey>(&command)) {
+        return {"key " + grant->label, valueOf(true)};
+    }
+    if (const auto *withdrawal = std::get_if<WithdrawKey>(&command)) {
+        return {"key " + withdrawal->label, valueOf(false)};
+    }
+    if (const auto *profile = std::get_if<PublishProfile>(&command)) {
+        return {"profile " + profile->name, digestOf(profile->spec)};
+    }
+    const auto *domain = std::get_if<SetDomain>(&command);
+    return {"domain " + domain->name, valueOf(domain->service == DomainService::In)};
+}
+
+/** Value and version of an item as a daemon shows it. */
+struct ShownValue {
+    std::uint64_t value = 0;
+    std::uint64_t version = 0;
+};
+
+ShownValue shown(const Tables &tables, const std::string &item)
+{
+    const auto name = item.substr(item.find(' ') + 1);
+    if (item.starts_with("team ")) {
+        const auto row = findRef(tables.lookups.teams, name);
+        return row.isSet()
+            ? ShownValue{digestOf(tables.teams.get<TeamPolicy>(row).limit), tables.teams.get<TeamPolicy>(row).version}
+            : ShownValue{};
+    }
+    if (item.starts_with("key ")) {
+        const auto row = findRef(tables.lookups.keys, name);
+        return {valueOf(row.isSet() && !tables.keys.get<KeyGrant>(row).withdrawn), 0};
+    }
+    if (item.starts_with("profile ")) {
+        const auto row = findRef(tables.lookups.profiles, name);
+        return row.isSet() ? ShownValue{digestOf(tables.profiles.get<ProfileSpec>(row)),
+                                        tables.profiles.get<ProfileIdentity>(row).version}
+                           : ShownValue{};
+    }
+    const auto row = findRef(tables.lookups.domains, name);
+    return row.isSet() ? ShownValue{valueOf(tables.domains.get<DomainState>(row).service == DomainService::In),
+                                    tables.domains.get<DomainState>(row).version}
+                       : ShownValue{};
+}
+
+/** Tells whether an answer says that the request was not and will not be carried out. */
+bool isRefusal(const Call &call)
+{
+    constexpr std::array others{
+        Reason::None, Reason::RequestRepeated, Reason::OutcomeUnknown, Reason::ResultExpired, Reason::ResultTruncated};
+    return call.state == CallState::NotSent
+        || (call.state == CallState::Answered && std::ranges::find(others, call.answer.reason) == others.end());
+}
+
+bool isAcceptance(const Call &call)
+{
+    return call.state == CallState::Answered
+        && (call.answer.reason == Reason::None || call.answer.reason == Reason::RequestRepeated);
+}
+
+Resources larger(const Resources &one, const Resources &other)
+{
+    return {std::max(one.cpuMilli, other.cpuMilli),
+            std::max(one.memoryMb, other.memoryMb),
+            std::max(one.accelerators, other.accelerators)};
+}
+
+} // namespace
+
+std::string_view nameOf(Promise promise)
+{
+    return rowOf(promiseTable, promise).name;
+}
+
+Oracle::Oracle(const World &world)
+    : m_world(world), m_bound(world.layout().settings.fence + world.layout().settings.startSlack + margin),
+      m_used(world.workers.size()), m_healthySince(world.daemons.size(), Milliseconds{0})
+{
+}
+
+void Oracle::report(Promise promise, std::string what)
+{
+    m_violations.push_back({promise, m_now, std::move(what)});
+}
+
+void Oracle::check()
+{
+    ++m_checks;
+    for (; m_next < m_world.journal.observations.size(); ++m_next) {
+        const auto [at, seen, index] = m_world.journal.observations[m_next];
+        m_now = at;
+        switch (seen) {
+        case Seen::RunStarted:
+            onRunStarted(m_world.journal.runs[index]);
+            break;
+        case Seen::RunEnded:
+            onRunEnded(m_world.journal.runs[index]);
+            break;
+        case Seen::CallSent:
+            onCallSent(index);
+            break;
+        case Seen::CallAnswered:
+            onCallAnswered(index);
+            break;
+        case Seen::End:
+            break;
+        }
+    }
+    m_now = m_world.now();
+    if (logTroubled()) {
+        m_troubleAt = m_now;
+    }
+    for (std::size_t n = 0; n < m_world.daemons.size(); ++n) {
+        checkConfiguration(n);
+    }
+}
+
+bool Oracle::logTroubled() const
+{
+    const auto &faults = m_world.log.faults;
+    std::size_t cut = 0;
+    for (std::size_t n = 0; n < m_world.layout().domains; ++n) {
+        cut += m_world.isCut(n, m_world.platform()) ? 1 : 0;
+    }
+    return faults.mode != LogMode::Up || faults.appendLatency >= slowAppend || faults.refusal > 0
+        || faults.answerLoss > 0 || m_world.network.late > 0 || cut == m_world.layout().domains;
+}
+
+// Calls -------------------------------------------------------------------------------------------------------------
+
+void Oracle::onCallSent(std::size_t call)
+{
+    const auto &action = m_world.journal.calls[call].request.action;
+    if (const auto *config = std::get_if<ConfigAction>(&action)) {
+        const auto [item, value] = itemOf(config->command);
+        m_changes[item].push_back({call, value});
+        if (const auto *grant = std::get_if<GrantKey>(&config->command)) {
+            m_labels[grant->digest] = grant->label;
+        }
+    } else if (const auto *submit = std::get_if<SubmitAction>(&action)) {
+        m_submissions[submit->payload].push_back(call);
+        if (submit->request.isSet()) {
+            m_payloads[submit->request].insert(submit->payload);
+        }
+    }
+}
+
+void Oracle::onCallAnswered(std::size_t index)
+{
+    const auto &call = m_world.journal.calls[index];
+    if (call.cutByStop) {
+        report(Promise::StopCutsNothing, fmt::format("call {} at entry-{}", index, call.daemon));
+    }
+    if (const auto *config = std::get_if<ConfigAction>(&call.request.action)) {
+        auto &changes = m_changes[itemOf(config->command).item];
+        auto &change = *std::ranges::find(changes, index, &Change::call);
+        change.refused = isRefusal(call);
+        change.accepted = isAcceptance(call);
+        change.offset = call.answer.result.offset;
+        return;
+    }
+    if (const auto *submit = std::get_if<SubmitAction>(&call.request.action)) {
+        if (isRefusal(call)) {
+            checkNotRun(call, *submit);
+        } else if (isAcceptance(call)) {
+            checkAcceptance(call, *submit);
+        }
+    }
+    if (call.state == CallState::Answered && call.view) {
+        checkView(call.answer.request, *call.view);
+    }
+}
+
+bool Oracle::allRefused(const std::string &payload) const
+{
+    const auto &calls = m_submissions.at(payload);
+    return std::ranges::all_of(calls, [&](std::size_t it) { return isRefusal(m_world.journal.calls[it]); });
+}
+
+void Oracle::checkNotRun(const Call &call, const SubmitAction &submit)
+{
+    const auto ran = [&](const Run &run) {
+        return run.payload == submit.payload;
+    };
+    if (allRefused(submit.payload) && std::ranges::any_of(m_world.journal.runs, ran)) {
+        report(Promise::NotRunIsTrue,
+               fmt::format("payload {} ran, entry-{} said {}",
+                           submit.payload,
+                           call.daemon,
+                           rowOf(reasonTable, call.answer.reason).name));
+    }
+}
+
+void Oracle::checkAcceptance(const Call &call, const SubmitAction &submit)
+{
+    const auto request = call.answer.request;
+    m_accepted.insert(request);
+    m_payloads[request].insert(submit.payload);
+    if (submit.request.isSet() && request != submit.request) {
+        report(Promise::WholeOwnAnswer, fmt::format("payload {}: answer for another request", submit.payload));
+    }
+    const auto *spec = profile(submit.profile);
+    const bool open = spec != nullptr && spec->access == QueueAccess::Open;
+    if (!open) {
+        const auto label = call.request.key ? m_labels.find(*call.request.key) : m_labels.end();
+        if (label == m_labels.end()) {
+            report(Promise::KeyDecidesTeam, fmt::format("payload {} accepted without a key", submit.payload));
+            return;
+        }
+        const auto *key = certain("key " + label->second);
+        const auto since = key != nullptr ? m_world.journal.calls[key->call].answeredAt : notYet;
+        if (key != nullptr && key->value == valueOf(false) && call.sentAt > since + m_bound) {
+            report(Promise::KeyDecidesTeam, fmt::format("payload {} accepted with a withdrawn key", submit.payload));
+        }
+    }
+    if (call.view && !call.view->team.empty() && call.view->team != teamOf(call)) {
+        report(Promise::KeyDecidesTeam, fmt::format("payload {} accepted for {}", submit.payload, call.view->team));
+    }
+}
+
+void Oracle::checkView(const RequestId &request, const JobView &view)
+{
+    const auto &payloads = m_payloads[request];
+    for (std::uint32_t n = 0; n < view.tasks.size(); ++n) {
+        const auto &task = view.tasks[n];
+        const auto &runs = m_runs[{request, n}];
+        const auto isWhole = [&](const std::string &payload) {
+            const auto whole = wholeAnswerOf(payload, n);
+            return task.result.length == whole.size() && task.result.digest == digestOfBytes(whole)
+                && (task.result.body == whole || (task.result.body.empty() && !task.result.heldBy.empty()));
+        };
+        if (task.outcome == Outcome::Succeeded && std::ranges::none_of(payloads, isWhole)) {
+            report(Promise::WholeOwnAnswer, fmt::format("task {} of {}: wrong answer", n, toString(request)));
+        }
+        if (task.outcome == Outcome::Withdrawn) {
+            m_saidNotRun.insert({request, n});
+            if (!runs.empty()) {
+                report(Promise::NotRunIsTrue, fmt::format("task {} of {} had run", n, toString(request)));
+            }
+        }
+    }
+}
+
+// Runs --------------------------------------------------------------------------------------------------------------
+
+void Oracle::onRunStarted(const Run &run)
+{
+    const auto found = m_submissions.find(run.payload);
+    if (found == m_submissions.end()) {
+        report(Promise::WholeOwnAnswer, fmt::format("payload {} ran, nobody submitted it", run.payload));
+        return;
+    }
+    const auto &call = m_world.journal.calls[found->second.front()];
+    const auto &submit = std::get<SubmitAction>(call.request.action);
+    const TaskKey key{run.request, run.ordinal};
+    if (!m_active.insert(key).second) {
+        report(Promise::NoTaskInTwoPlaces, fmt::format("{} on worker-{}", run.payload, run.worker));
+    }
+    auto &runs = m_runs[key];
+    const auto *spec = profile(submit.profile);
+    if (!runs.empty() && spec != nullptr && !spec->idempotent) {
+        report(Promise::AtMostOnce, fmt::format("{} on worker-{}", run.payload, run.worker));
+    }
+    runs.push_back(run.worker);
+    if (allRefused(run.payload) || m_saidNotRun.contains(key)) {
+        report(Promise::NotRunIsTrue, fmt::format("{} runs after its refusal", run.payload));
+    }
+    const bool otherId = submit.request.isSet() && submit.request != run.request;
+    if (otherId || run.ordinal >= submit.count || submit.perTask != run.held) {
+        report(Promise::WholeOwnAnswer, fmt::format("{} runs otherwise than submitted", run.payload));
+    }
+    checkStart(run, submit);
+    checkLimit(run, teamOf(call));
+}
+
+void Oracle::checkStart(const Run &run, const SubmitAction &submit)
+{
+    m_used[run.worker] += submit.perTask;
+    const auto &worker = *m_world.workers[run.worker];
+    if (!m_used[run.worker].fitsInto(worker.total())) {
+        report(Promise::NoHostOvercommitted, fmt::format("{} on worker-{}", run.payload, run.worker));
+    }
+    if (const auto *service = certain("domain " + worker.row().domain); service != nullptr) {
+        const auto outSince = m_world.journal.calls[service->call].answeredAt;
+        if (service->value == valueOf(false) && m_now > outSince + m_bound) {
+            report(Promise::NoStartInDomainOut,
+                   fmt::format("{} on worker-{}, out since {}", run.payload, run.worker, outSince.count()));
+        }
+    }
+    const auto &settings = m_world.layout().settings;
+    const auto known = std::max(worker.leavingSince, m_troubleAt) + hostListLag + settings.hostListInterval;
+    if (worker.leavingSince != notYet && m_now > known + m_bound) {
+        report(Promise::LeavingGetsNoWork,
+               fmt::format("{} on worker-{}, leaving since {}", run.payload, run.worker, worker.leavingSince.count()));
+    }
+}
+
+void Oracle::checkLimit(const Run &run, const std::string &team)
+{
+    auto &use = m_teamUse[team];
+    use += run.held;
+    const auto item = "team " + team;
+    const auto *change = certain(item);
+    const auto limitOf = [&](const Change &it) {
+        const auto &action = std::get<ConfigAction>(m_world.journal.calls[it.call].request.action);
+        return std::get<SetTeam>(action.command).policy.limit;
+    };
+    Resources limit;
+    if (change != nullptr && m_now > m_world.journal.calls[change->call].answeredAt + m_bound) {
+        limit = limitOf(*change);
+    } else {
+        for (const auto &it : m_changes[item]) {
+            limit = it.refused ? limit : larger(limit, limitOf(it));
+        }
+    }
+    if (!use.fitsInto(limit)) {
+        report(Promise::LimitHolds, fmt::format("{} has {} of {} millicores", team, use.cpuMilli, limit.cpuMilli));
+    }
+}
+
+void Oracle::onRunEnded(const Run &run)
+{
+    const auto found = m_submissions.find(run.payload);
+    if (found == m_submissions.end()) {
+        return;
+    }
+    const auto &call = m_world.journal.calls[found->second.front()];
+    m_active.erase({run.request, run.ordinal});
+    m_used[run.worker] -= std::get<SubmitAction>(call.request.action).perTask;
+    m_teamUse[teamOf(call)] -= run.held;
+}
+
+// Configuration -----------------------------------------------------------------------------------------------------
+
+/** The change that is in force for certain: none other can have come after it, unless it sets the same value. */
+const Oracle::Change *Oracle::certain(const std::string &item) const
+{
+    const auto found = m_changes.find(item);
+    if (found == m_changes.end()) {
+        return nullptr;
+    }
+    const Change *last = nullptr;
+    for (const auto &it : found->second) {
+        if (it.accepted && (last == nullptr || it.offset > last->offset)) {
+            last = &it;
+        }
+    }
+    for (const auto &it : found->second) {
+        const bool settled =
+            it.settledAt != notYet && last != nullptr && it.settledAt <= m_world.journal.calls[last->call].sentAt;
+        if (!it.accepted && !it.refused && !settled && last != nullptr && it.value != last->value) {
+            return nullptr;
+        }
+    }
+    return last;
+}
+
+void Oracle::settle()
+{
+    for (auto &[item, changes] : m_changes) {
+        for (auto &it : changes) {
+            it.settledAt = it.settledAt == notYet ? m_world.now() : it.settledAt;
+        }
+    }
+}
+
+std::string Oracle::teamOf(const Call &call) const
+{
+    const auto *spec = profile(std::get<SubmitAction>(call.request.action).profile);
+    if (spec != nullptr && spec->access == QueueAccess::Open) {
+        return spec->team;
+    }
+    const auto label = call.request.key ? m_labels.find(*call.request.key) : m_labels.end();
+    if (label == m_labels.end()) {
+        return {};
+    }
+    for (const auto &it : m_changes.at("key " + label->second)) {
+        const auto &action = std::get<ConfigAction>(m_world.journal.calls[it.call].request.action);
+        if (const auto *grant = std::get_if<GrantKey>(&action.command)) {
+            return grant->team;
+        }
+    }
+    return {};
+}
+
+const ProfileSpec *Oracle::profile(const std::string &name) const
+{
+    const auto found = m_changes.find("profile " + name);
+    if (found == m_changes.end()) {
+        return nullptr;
+    }
+    const auto &action = std::get<ConfigAction>(m_world.journal.calls[found->second.back().call].request.action);
+    return &std::get<PublishProfile>(action.command).spec;
+}
+
+void Oracle::checkConfiguration(std::size_t daemon)
+{
+    const auto &it = m_world.daemons[daemon];
+    const bool healthy = it.state == ProcessState::Running && it.node->phase == NodePhase::Serving
+        && !m_world.isCut(it.domain, m_world.platform()) && m_troubleAt != m_now;
+    if (!healthy) {
+        m_healthySince[daemon] = m_now;
+    }
+    if (it.state == ProcessState::Down || it.node->phase != NodePhase::Serving) {
+        return;
+    }
+    for (const auto &[item, changes] : m_changes) {
+        const auto [value, version] = shown(it.node->tables, item);
+        auto &last = m_versions[{it.life * m_world.daemons.size() + daemon, item}];
+        if (version < last) {
+            report(Promise::ConfigurationHolds, fmt::format("{} went back on entry-{}", item, daemon));
+        }
+        last = version;
+        const auto *change = certain(item);
+        const auto since = change != nullptr ? m_world.journal.calls[change->call].answeredAt : m_now;
+        if (std::max(since, m_healthySince[daemon]) + m_bound < m_now && value != change->value) {
+            report(Promise::ConfigurationHolds, fmt::format("{} is not in force on entry-{}", item, daemon));
+        }
+    }
+}
+
+void Oracle::checkEnds()
+{
+    check();
+    const auto daemon = m_world.servingDaemon();
+    if (daemon == m_world.daemons.size()) {
+        report(Promise::WorkReachesEnd, "no daemon serves");
+        return;
+    }
+    for (const auto &it : m_accepted) {
+        const auto view = m_world.showJob(daemon, it);
+        if (!view || view->outcome == Outcome::None) {
+            report(Promise::WorkReachesEnd,
+                   fmt::format("{} ({}) has not ended", toString(it), *m_payloads[it].begin()));
+        } else {
+            checkView(it, *view);
+        }
+    }
+}
+
+} // namespace flamingotally::fakes
--- a/tests/fakes/world.cpp
+++ b/tests/fakes/world.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 constexpr Milliseconds wallEpoch{1'796'000'000'000}; ///< Start of the world by wall clocks.
-constexpr Milliseconds hostListLag{1'000};
 constexpr Milliseconds exchangeTimeout{2'000}; ///< After which a client gives up on a silent platform or peer.
 constexpr std::uint8_t operatorKeyNumber = 255;
 
@@ -23,27 +22,6 @@
     }
     return text;
 }
-
-/** Shows a job as the front would. */
-std::optional<JobView> viewOf(const Tables &tables, const RequestId &request)
-{
-    const auto row = findRef(tables.lookups.requests, request);
-    if (!row.isSet()) {
-        return std::nullopt;
-    }
-    const auto &record = tables.requests.get<RequestRecord>(row);
-    if (!tables.jobs.contains(record.job)) {
-        return JobView{"", record.outcome, {}};
-    }
-    JobView view;
-    const auto &state = tables.jobs.get<JobState>(record.job);
-    view.team = tables.teams.get<TeamIdentity>(tables.jobs.get<JobIdentity>(record.job).team).name;
-    view.outcome = state.outcome;
-    for (const auto it : state.tasks) {
-        view.tasks.push_back({tables.tasks.get<TaskState>(it).outcome, tables.tasks.get<TaskResult>(it)});
-    }
-    return view;
-}
 } // namespace
 
 KeyDigest testKey(std::uint8_t number)
@@ -311,7 +289,9 @@
 
 void World::setLeaving(std::size_t worker, bool leaving)
 {
-    workers[worker]->leaving = leaving;
+    if (leaving != (workers[worker]->leavingSince != notYet)) {
+        workers[worker]->leavingSince = leaving ? now() : notYet;
+    }
     publishHosts();
 }
 
@@ -323,7 +303,7 @@
     }
     for (const auto &it : workers) {
         rows.push_back(it->row());
-        rows.back().leaving = it->leaving;
+        rows.back().leaving = it->leavingSince != notYet;
     }
     const auto lag = m_visibleHosts.empty() ? Milliseconds{0} : hostListLag;
     queue.after(lag, [this, rows = std::move(rows)] { m_visibleHosts = rows; });
@@ -382,6 +362,26 @@
     return static_cast<std::size_t>(std::ranges::find_if(daemons, serves) - daemons.begin());
 }
 
+std::optional<JobView> World::showJob(std::size_t daemon, const RequestId &request) const
+{
+    const auto &tables = daemons[daemon].node->tables;
+    const auto row = findRef(tables.lookups.requests, request);
+    if (!row.isSet()) {
+        return std::nullopt;
+    }
+    const auto &record = tables.requests.get<RequestRecord>(row);
+    if (!tables.jobs.contains(record.job)) {
+        return JobView{"", record.outcome, {}};
+    }
+    JobView view;
+    const auto &state = tables.jobs.get<JobState>(record.job);
+    view.team = tables.teams.get<TeamIdentity>(tables.jobs.get<JobIdentity>(record.job).team).name;
+    view.outcome = state.outcome;
+    for (const auto it : state.tasks) {
+        view.tasks.push_back({tables.tasks.get<TaskState>(it).outcome, tables.tasks.get<TaskResult>(it)});
+    }
+    return view;
+}
 // Ports -------------------------------------------------------------------------------------------------------------
 
 MonotonicTime DaemonPorts::now() const
@@ -401,7 +401,11 @@
     const auto life = world.daemons[daemon].life;
     world.send(daemon, [&world, daemon, life, batch] {
         const auto domain = world.daemons[daemon].domain;
-        const auto answer = [&world, daemon, life, sequence = batch.sequence](AppendOutcome outcome) {
+        const auto answered = std::make_shared<bool>(false);
+        const auto answer = [&world, daemon, life, answered, sequence = batch.sequence](AppendOutcome outcome) {
+            if (std::exchange(*answered, true) && outcome == AppendOutcome::Unknown) {
+                return;
+            }
             world.deliver(daemon, life, [=](Node &node, MonotonicTime) {
                 node.inbox.appendAnswers.push_back({sequence, outcome});
             });
@@ -476,8 +480,10 @@
     }
     world.send(daemon, [&world, daemon, life, worker, sync] {
         const auto domain = world.daemons[daemon].domain;
-        const auto answer = [&world, daemon, life, done = std::make_shared<bool>(false)](WorkerReport report) {
+        const bool waited = sync.wait > Milliseconds{0};
+        const auto answer = [&world, daemon, life, waited, done = std::make_shared<bool>(false)](WorkerReport report) {
             if (!std::exchange(*done, true)) {
+                report.waited = waited;
                 world.deliver(daemon, life, [report = std::move(report)](Node &node, MonotonicTime receivedAt) {
                     node.inbox.workerReports.push_back(report);
                     node.inbox.workerReports.back().receivedAt = receivedAt;
@@ -583,7 +589,7 @@
     auto &world = m_world;
     const auto daemon = m_daemon;
     const auto call = static_cast<std::size_t>(answer.handle - 1);
-    auto view = viewOf(world.daemons[daemon].node->tables, answer.request);
+    auto view = world.showJob(daemon, answer.request);
     const auto life = world.daemons[daemon].life;
     world.send(daemon, [&world, daemon, life, call, answer, view = std::move(view)] {
         if (world.daemons[daemon].life == life && world.daemons[daemon].openCalls.erase(call) != 0) {
--- a/tests/fakes/world.h
+++ b/tests/fakes/world.h
@@ -15,6 +15,8 @@
 namespace flamingotally::fakes
 {
 
+constexpr Milliseconds hostListLag{1'000}; ///< Before a change of hosts shows on the platform's list.
+
 /** How a world is laid out. */
 struct WorldLayout {
     std::uint64_t seed = 1;
@@ -139,9 +141,14 @@
      */
     std::size_t call(std::size_t daemon, std::optional<KeyDigest> key, CallerAction action);
 
+    std::size_t domainOfWorker(std::size_t worker) const;
+
     /** Makes a request id issued now. */
     RequestId makeId();
 
+    /** What a daemon that runs shows of a job; nothing when it does not know it. */
+    std::optional<JobView> showJob(std::size_t daemon, const RequestId &request) const;
+
     /** Index of a daemon that serves; the number of daemons when none does. */
     std::size_t servingDaemon() const;
 
@@ -152,6 +159,11 @@
 
     WallTime wallNow() const;
 
+    const WorldLayout &layout() const
+    {
+        return m_layout;
+    }
+
     /** Name of a failure domain, by its index. */
     static std::string domainName(std::size_t domain);
 
@@ -177,7 +189,6 @@
     void finishCall(std::size_t call, CallState state);
     void takeCall(std::size_t call);
     void publishHosts();
-    std::size_t domainOfWorker(std::size_t worker) const;
 
     WorldLayout m_layout;
     std::set<std::pair<std::size_t, std::size_t>> m_cuts;
