Plan placements by policy, and propose those of this daemon's workers

Waiting work had no order and went nowhere. One plan now walks it: urgent work first, then the team furthest below its share by dominant resource, then deadline, then age. Best fit keeps accelerator workers for accelerator work, spreads services, keeps gangs to one rack, and reserves workers for a gang or a large task at the head that has waited 2 s. Urgent work and teams below their share preempt what can be checkpointed. FIFO, first fit and random run through the same planner as template arguments.

Deadlines count within a team only: before the share, the profile with the shortest bound would take the cell.

--- a/src/node_base.h
+++ b/src/node_base.h
@@ -6,6 +6,7 @@
 
 #include "message_type.h"
 #include "settings_type.h"
+#include "systems/scheduling_base.h"
 #include "tables.h"
 
 #include <array>
@@ -323,6 +324,7 @@
     absl::flat_hash_map<AttemptNumber, AttemptLinkRef> attemptLinkByNumber;
     absl::flat_hash_map<std::string, PeerRef> peerByName;
     absl::flat_hash_map<RequestHandle, WaiterRef> waiterByHandle;
+    SchedulingState scheduling;
     Counters counters;
     std::mt19937_64 random; ///< Seeded by whoever builds the node.
     MonotonicTime nextWake{}; ///< Latest time of the next tick, set by the tick.
--- /dev/null
+++ b/src/policy/gang.cpp
@@ -0,0 +1,133 @@
+#include "policy/gang.h"
+
+#include <algorithm>
+
+namespace flamingotally
+{
+
+namespace
+{
+
+/** How many tasks a row holds. */
+struct RowFit {
+    std::uint32_t row = 0;
+    std::uint32_t fit = 0;
+};
+
+std::vector<RowFit> fitsNow(const RoomTable &rooms, const TaskNeed &need, std::uint32_t count)
+{
+    std::vector<RowFit> fits;
+    for (std::uint32_t n = 0; n < rooms.size(); ++n) {
+        if (!mayUseRow(rooms.use[n], need) || rooms.use[n] == RowUse::Probe) {
+            continue;
+        }
+        if (const auto fit = fitCount(rooms.free[n], need.amount, count); fit > 0) {
+            fits.push_back({n, fit});
+        }
+    }
+    return fits;
+}
+
+/** Finds the group of rows that holds the gang most tightly; nothing when none does. */
+std::optional<std::uint32_t>
+tightestGroup(const std::vector<RowFit> &fits, const std::vector<std::uint32_t> &groupOf, std::uint32_t count)
+{
+    std::vector<std::uint64_t> sums;
+    for (const auto &it : fits) {
+        const auto group = groupOf[it.row];
+        if (group >= sums.size()) {
+            sums.resize(group + 1, 0);
+        }
+        sums[group] += it.fit;
+    }
+    std::optional<std::uint32_t> best;
+    for (std::uint32_t n = 0; n < sums.size(); ++n) {
+        if (sums[n] >= count && (!best || sums[n] < sums[*best])) {
+            best = n;
+        }
+    }
+    return best;
+}
+
+void keepGroup(std::vector<RowFit> &fits, const std::vector<std::uint32_t> &groupOf, std::uint32_t group)
+{
+    std::erase_if(fits, [&](const RowFit &it) { return groupOf[it.row] != group; });
+}
+
+std::vector<std::uint32_t> assign(std::vector<RowFit> fits, std::uint32_t count)
+{
+    std::ranges::stable_sort(fits, std::ranges::greater{}, &RowFit::fit);
+    std::vector<std::uint32_t> rows;
+    for (const auto &it : fits) {
+        const auto taken = std::min<std::uint32_t>(it.fit, count - static_cast<std::uint32_t>(rows.size()));
+        rows.insert(rows.end(), taken, it.row);
+    }
+    return rows;
+}
+
+} // namespace
+
+std::uint32_t fitCount(const Resources &room, const Resources &amount, std::uint32_t most)
+{
+    if (!room.isNonNegative()) {
+        return 0;
+    }
+    std::int64_t fit = most;
+    auto bound = [&fit](std::int64_t has, std::int64_t needs) {
+        if (needs > 0) {
+            fit = std::min(fit, has / needs);
+        }
+    };
+    bound(room.cpuMilli, amount.cpuMilli);
+    bound(room.memoryMb, amount.memoryMb);
+    bound(room.accelerators, amount.accelerators);
+    return static_cast<std::uint32_t>(fit);
+}
+
+std::vector<std::uint32_t> placeGang(const RoomTable &rooms, const TaskNeed &need, std::uint32_t count)
+{
+    auto fits = fitsNow(rooms, need, count);
+    std::uint64_t sum = 0;
+    for (const auto &it : fits) {
+        sum += it.fit;
+    }
+    if (sum < count) {
+        return {};
+    }
+    if (const auto rack = tightestGroup(fits, rooms.racks, count)) {
+        keepGroup(fits, rooms.racks, *rack);
+    } else if (const auto domain = tightestGroup(fits, rooms.domains, count)) {
+        keepGroup(fits, rooms.domains, *domain);
+    }
+    return assign(std::move(fits), count);
+}
+
+bool reserveRows(RoomTable &rooms, const LiveAttemptTable &attempts, const Resources &amount, std::uint32_t count)
+{
+    std::vector<RowFit> fits;
+    for (std::uint32_t n = 0; n < rooms.size(); ++n) {
+        if (rooms.use[n] == RowUse::Open && fitCount(attainableRoom(attempts, rooms, n), amount, count) > 0) {
+            fits.push_back({n, fitCount(rooms.free[n] + rooms.soon[n], amount, count)});
+        }
+    }
+    std::ranges::stable_sort(fits, [&](const RowFit &left, const RowFit &right) {
+        const double leftRoom = dominantPart(rooms.free[left.row] + rooms.soon[left.row], rooms.total[left.row]);
+        const double rightRoom = dominantPart(rooms.free[right.row] + rooms.soon[right.row], rooms.total[right.row]);
+        return std::tie(left.fit, leftRoom) > std::tie(right.fit, rightRoom);
+    });
+    std::uint64_t sum = 0;
+    std::size_t used = 0;
+    while (sum < count && used < fits.size()) {
+        sum += fitCount(attainableRoom(attempts, rooms, fits[used].row), amount, count);
+        ++used;
+    }
+    if (sum < count) {
+        return false;
+    }
+    for (std::size_t n = 0; n < used; ++n) {
+        rooms.use[fits[n].row] = RowUse::Reserved;
+    }
+    return true;
+}
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/policy/planner.h
@@ -0,0 +1,300 @@
+/** @file planner.h Walks waiting work in the order of a queue policy and places it by a placement policy. */
+#pragma once
+
+#include "policy/gang.h"
+#include "policy/plan_type.h"
+#include "policy/queue_policy.h"
+#include "policy/task_need.h"
+
+#include <algorithm>
+
+namespace flamingotally
+{
+
+/** Waiting of the head of the queue after which workers are kept for it. */
+constexpr Milliseconds reserveAfter{2'000};
+
+/** Waiting after which work that is not urgent may preempt. */
+constexpr Milliseconds preemptAfter{1'000};
+
+/** Searches for attempts to stop that one plan makes at most, so that its time is bounded. */
+constexpr std::uint32_t maxStopSearches = 8;
+
+/** Makes one plan. */
+template<QueuePolicy QueueT, PlacementPolicy PlacementT>
+class Planner
+{
+public:
+    Planner(PlanScratch &scratch, const PlanInput &input) : m_scratch(scratch), m_input(input)
+    {
+    }
+
+    Plan run()
+    {
+        makeLanes();
+        while (auto *lane = nextLane()) {
+            serve(*lane);
+            if (m_placed >= m_input.maxTasks) {
+                m_plan.isCutShort = true;
+                break;
+            }
+        }
+        return std::move(m_plan);
+    }
+
+private:
+    /** A run of waiting jobs, and how far it has been served. */
+    struct Lane {
+        LaneKey key;
+        std::size_t next = 0;
+        std::size_t end = 0;
+        std::uint32_t nextTask = 0; ///< Task of the next job.
+        SmallestNeeds blocked; ///< Needs that no room could be made for.
+    };
+
+    void makeLanes()
+    {
+        auto &jobs = m_scratch.waiting.jobs;
+        std::ranges::sort(jobs, [](const WaitingJob &left, const WaitingJob &right) {
+            const auto leftLane = QueueT::laneOf(left);
+            const auto rightLane = QueueT::laneOf(right);
+            return leftLane != rightLane ? leftLane < rightLane : QueueT::before(left, right);
+        });
+        for (std::size_t n = 0; n < jobs.size(); ++n) {
+            const auto key = QueueT::laneOf(jobs[n]);
+            if (m_lanes.empty() || m_lanes.back().key != key) {
+                m_lanes.push_back({key, n, n, 0, {}});
+            }
+            m_lanes.back().end = n + 1;
+        }
+    }
+
+    /** Lane to serve next: of the lowest rank, and within it of the team that is furthest below its share. */
+    Lane *nextLane()
+    {
+        Lane *best = nullptr;
+        double bestLevel = 0.0;
+        for (auto &lane : m_lanes) {
+            if (lane.next == lane.end) {
+                continue;
+            }
+            if (best != nullptr && best->key.rank < lane.key.rank) {
+                break;
+            }
+            const double level = levelOf(m_scratch.teams, m_scratch.waiting.jobs[lane.next].team);
+            if (best == nullptr || level < bestLevel) {
+                best = &lane;
+                bestLevel = level;
+            }
+        }
+        return best;
+    }
+
+    /** Serves a lane until something was placed or nothing is left in it. */
+    void serve(Lane &lane)
+    {
+        while (lane.next < lane.end) {
+            const auto &job = m_scratch.waiting.jobs[lane.next];
+            if (job.kind == WorkKind::Gang) {
+                const bool placed = serveGang(job);
+                skipJob(lane);
+                if (placed) {
+                    return;
+                }
+            } else if (serveTask(lane, job)) {
+                if (++lane.nextTask == job.taskCount) {
+                    skipJob(lane);
+                }
+                return;
+            } else {
+                skipJob(lane);
+            }
+        }
+    }
+
+    void skipJob(Lane &lane)
+    {
+        ++lane.next;
+        lane.nextTask = 0;
+    }
+
+    /** Places a task, or sees to it that it will have room. False when the rest of its job would fare no better. */
+    bool serveTask(Lane &lane, const WaitingJob &job)
+    {
+        const auto task = m_scratch.waiting.tasks[job.firstTask + lane.nextTask];
+        const auto &amount = m_input.tables.jobs.get<JobSpec>(job.job).perTask;
+        if (!withinLimit(m_input.tables, m_scratch.teams, job.team, amount)) {
+            return false;
+        }
+        if (lane.nextTask == 0) {
+            m_counts = countSpread(m_input.tables, m_scratch.rooms, job.job);
+        }
+        const auto need = needOf(m_input.tables, job, task, m_counts);
+        if (const auto row = pickFor(task, need)) {
+            place(job, task, *row, amount);
+            return true;
+        }
+        m_plan.blocked[static_cast<std::size_t>(job.urgency)] = true;
+        if constexpr (QueueT::makesRoom) {
+            return makeRoom(lane, job, amount);
+        }
+        return false;
+    }
+
+    std::optional<std::size_t> pickFor(TaskRef task, const TaskNeed &need)
+    {
+        if (const auto it = m_input.planned.find(keyOf(task)); it != m_input.planned.end()) {
+            const auto row = it->second.worker.index;
+            const auto &rooms = m_scratch.rooms;
+            if (row < rooms.size() && rooms.workers[row] == it->second.worker && mayUseRow(rooms.use[row], need)
+                && need.amount.fitsInto(rooms.free[row])) {
+                return row;
+            }
+        }
+        auto &failed = m_failed[failureClassOf(need)];
+        if (failed.covers(need.amount)) {
+            return std::nullopt;
+        }
+        const auto row = pickRow<PlacementT>(m_scratch.rooms, need);
+        if (!row) {
+            failed.add(need.amount);
+        }
+        return row;
+    }
+
+    void place(const WaitingJob &job, TaskRef task, std::size_t row, const Resources &amount)
+    {
+        auto &rooms = m_scratch.rooms;
+        takeRoom(rooms, m_scratch.teams, row, job.team, amount);
+        if (rooms.use[row] == RowUse::Probe) {
+            rooms.use[row] = RowUse::Closed;
+        }
+        if (m_counts) {
+            m_counts->add(rooms, row);
+        }
+        m_plan.groups.push_back({{{task, rooms.workers[row]}}, job.job, job.urgency, false});
+        ++m_placed;
+    }
+
+    bool serveGang(const WaitingJob &job)
+    {
+        const auto &amount = m_input.tables.jobs.get<JobSpec>(job.job).perTask;
+        if (!withinLimit(m_input.tables, m_scratch.teams, job.team, amount * job.taskCount)) {
+            return false;
+        }
+        const auto task = m_scratch.waiting.tasks[job.firstTask];
+        const auto need = needOf(m_input.tables, job, task, m_counts);
+        const auto rows = placeGang(m_scratch.rooms, need, job.taskCount);
+        if (rows.empty()) {
+            m_plan.blocked[static_cast<std::size_t>(job.urgency)] = true;
+            if constexpr (QueueT::makesRoom) {
+                reserve(job, amount, m_hasGangReservation);
+            }
+            return false;
+        }
+        PlannedGroup group{{}, job.job, job.urgency, true};
+        for (std::uint32_t n = 0; n < job.taskCount; ++n) {
+            takeRoom(m_scratch.rooms, m_scratch.teams, rows[n], job.team, amount);
+            group.placements.push_back({m_scratch.waiting.tasks[job.firstTask + n], m_scratch.rooms.workers[rows[n]]});
+        }
+        m_placed += job.taskCount;
+        m_plan.groups.push_back(std::move(group));
+        return true;
+    }
+
+    /** Claims room that is about to come free for a task, or stops attempts for it, or keeps a worker for it. */
+    bool makeRoom(Lane &lane, const WaitingJob &job, const Resources &amount)
+    {
+        const bool mayPreempt = job.urgency == Urgency::Urgent || m_input.now - job.since >= preemptAfter;
+        if (!mayPreempt || lane.blocked.covers(amount)) {
+            return false;
+        }
+        needAttempts();
+        const RoomClaim claim{amount, job.team, job.urgency};
+        if (claimSoon(claim) || stopFor(claim)) {
+            return true;
+        }
+        lane.blocked.add(amount);
+        reserve(job, amount, m_hasTaskReservation);
+        return false;
+    }
+
+    bool claimSoon(const RoomClaim &claim)
+    {
+        auto &rooms = m_scratch.rooms;
+        for (std::size_t n = 0; n < rooms.size(); ++n) {
+            const bool isComing = rooms.soon[n] != Resources{} && rooms.use[n] == RowUse::Open;
+            if (isComing && claim.amount.fitsInto(rooms.free[n] + rooms.soon[n])) {
+                takeSoon(n, claim);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    bool stopFor(const RoomClaim &claim)
+    {
+        if (m_stopSearches == maxStopSearches) {
+            return false;
+        }
+        ++m_stopSearches;
+        auto &attempts = m_scratch.attempts;
+        const auto set = chooseStops(attempts, m_scratch.rooms, m_scratch.teams, claim, m_input.now);
+        if (!set) {
+            return false;
+        }
+        for (const auto n : set->attempts) {
+            auto &attempt = attempts.rows[n];
+            attempt.stopping = true;
+            m_scratch.rooms.soon[set->row] += attempt.held;
+            m_scratch.teams.leaving[attempt.team.index] += attempt.held;
+            m_plan.stops.push_back({attempt.number, m_scratch.rooms.workers[set->row]});
+        }
+        takeSoon(set->row, claim);
+        return true;
+    }
+
+    /** Takes a claim from what is free on a worker, and the rest from what is about to be. */
+    void takeSoon(std::size_t row, const RoomClaim &claim)
+    {
+        auto &free = m_scratch.rooms.free[row];
+        const Resources taken{std::min(free.cpuMilli, claim.amount.cpuMilli),
+                              std::min(free.memoryMb, claim.amount.memoryMb),
+                              std::min(free.accelerators, claim.amount.accelerators)};
+        free -= taken;
+        m_scratch.rooms.soon[row] -= claim.amount - taken;
+        m_scratch.teams.use[claim.team.index] += claim.amount;
+    }
+
+    void reserve(const WaitingJob &job, const Resources &amount, bool &hasReservation)
+    {
+        if (hasReservation || m_input.now - job.since < reserveAfter) {
+            return;
+        }
+        needAttempts();
+        const auto count = job.kind == WorkKind::Gang ? job.taskCount : 1;
+        hasReservation = reserveRows(m_scratch.rooms, m_scratch.attempts, amount, count);
+    }
+
+    void needAttempts()
+    {
+        if (!m_hasAttempts) {
+            fillLiveAttempts(m_scratch.attempts, m_scratch.rooms, m_scratch.teams, m_input.tables, m_input.stopsInHand);
+            m_hasAttempts = true;
+        }
+    }
+
+    PlanScratch &m_scratch;
+    const PlanInput &m_input;
+    Plan m_plan;
+    std::vector<Lane> m_lanes;
+    std::array<SmallestNeeds, failureClasses> m_failed;
+    std::optional<SpreadCounts> m_counts;
+    std::size_t m_placed = 0;
+    std::uint32_t m_stopSearches = 0;
+    bool m_hasAttempts = false;
+    bool m_hasGangReservation = false;
+    bool m_hasTaskReservation = false;
+};
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/policy/task_need.cpp
@@ -0,0 +1,71 @@
+#include "policy/task_need.h"
+
+#include <algorithm>
+
+namespace flamingotally
+{
+
+bool SmallestNeeds::covers(const Resources &amount) const
+{
+    return std::ranges::any_of(m_amounts, [&](const Resources &it) { return it.fitsInto(amount); });
+}
+
+void SmallestNeeds::add(const Resources &amount)
+{
+    std::erase_if(m_amounts, [&](const Resources &it) { return amount.fitsInto(it); });
+    m_amounts.push_back(amount);
+}
+
+std::size_t failureClassOf(const TaskNeed &need)
+{
+    return (need.mayBorrow ? 1U : 0U) | (need.mayUseReserved ? 2U : 0U) | (need.mayProbe ? 4U : 0U);
+}
+
+void SpreadCounts::add(const RoomTable &rooms, std::size_t row)
+{
+    ++byDomain[rooms.domains[row]];
+    ++byRack[rooms.racks[row]];
+    ++byWorker[row];
+}
+
+std::optional<SpreadCounts> countSpread(const Tables &tables, const RoomTable &rooms, JobRef job)
+{
+    if (tables.jobs.get<JobSpec>(job).treatment.spread == Spread::None) {
+        return std::nullopt;
+    }
+    SpreadCounts counts;
+    counts.byDomain.assign(tables.domains.capacity(), 0);
+    counts.byRack.assign(tables.racks.capacity(), 0);
+    counts.byWorker.assign(rooms.size(), 0);
+    for (const auto task : tables.jobs.get<JobState>(job).tasks) {
+        const auto &state = tables.tasks.get<TaskState>(task);
+        if (state.phase == TaskPhase::Placed) {
+            counts.add(rooms, tables.attempts.get<AttemptIdentity>(state.attempt).worker.index);
+        }
+    }
+    return counts;
+}
+
+TaskNeed needOf(const ProfileSpec &treatment, const Resources &amount)
+{
+    TaskNeed need;
+    need.amount = amount;
+    need.spread = treatment.spread;
+    const bool isShort = treatment.kind == WorkKind::Request;
+    need.mayBorrow = isShort || treatment.checkpoint;
+    need.mayUseReserved = isShort || treatment.urgency == Urgency::Urgent;
+    need.mayProbe = treatment.idempotent && treatment.kind == WorkKind::Batch && treatment.urgency != Urgency::Urgent;
+    return need;
+}
+
+TaskNeed needOf(const Tables &tables, const WaitingJob &job, TaskRef task, const std::optional<SpreadCounts> &counts)
+{
+    const auto &spec = tables.jobs.get<JobSpec>(job.job);
+    TaskNeed need = needOf(spec.treatment, spec.perTask);
+    need.counts = counts ? &*counts : nullptr;
+    need.avoid = tables.tasks.get<TaskState>(task).lastFailedOn;
+    need.seed = keyOf(task);
+    return need;
+}
+
+} // namespace flamingotally
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -3,6 +3,7 @@
 
 #include "core/time_type.h"
 #include "log_type.h"
+#include "policy/policy_type.h"
 
 #include <cstdint>
 #include <string>
@@ -45,6 +46,7 @@
     std::uint64_t maxBodyBytes = 256 * 1024; ///< Largest body of a caller's request.
     std::uint64_t maxRequestsInHand = 4'096; ///< Requests beyond this are refused as overload.
     std::uint64_t inlineResultBytes = 4'096; ///< Larger results stay with the worker.
+    PolicyKind policy = PolicyKind::Share; ///< Order and placement of waiting work; equal on all daemons.
     std::uint64_t setAsideFailures = 8; ///< Recent failures of a worker from which it may be set aside.
 };
 
--- /dev/null
+++ b/src/systems/scheduling.cpp
@@ -0,0 +1,237 @@
+#include "systems/scheduling.h"
+
+#include "core/digest.h"
+#include "node_func.h"
+#include "systems/systems.h"
+
+#include <algorithm>
+
+namespace flamingotally
+{
+
+namespace
+{
+
+/** Least time between two plans: records that arrive in between are planned for together. */
+constexpr Milliseconds planInterval{10};
+
+/** Longest time between two plans while work waits. */
+constexpr Milliseconds replanInterval{250};
+
+/** A task whose placement another daemon has not proposed for so long may be placed by the home of its job. */
+constexpr Milliseconds takeOverAfter{1'000};
+
+/** Between two looks at which workers are this daemon's. */
+constexpr Milliseconds ownedInterval{500};
+
+/** Tasks that one plan places at most, so that a tick stays short. */
+constexpr std::size_t maxTasksPerPlan = 256;
+
+/** Placements in one command at most. */
+constexpr std::size_t maxPlacementsPerCommand = 128;
+
+bool isPlanDue(const Node &node, const TickTime &time)
+{
+    const auto &state = node.scheduling;
+    if (!state.hasPlan) {
+        return true;
+    }
+    const auto since = time.now - state.plannedAt;
+    if (since < planInterval) {
+        return false;
+    }
+    const bool hasWaiting = !state.scratch.waiting.jobs.empty();
+    return state.plannedOffset != node.tables.position.nextOffset || state.isCutShort
+        || (hasWaiting && since >= replanInterval) || state.nextBackoffEnd <= estimateLogTime(node, time);
+}
+
+/** Sees to it that the next tick comes when the next plan is due. */
+void setWake(Node &node, const TickTime &time)
+{
+    const auto &state = node.scheduling;
+    auto wakeAt = [&](MonotonicTime at) {
+        node.nextWake = std::min(node.nextWake, at);
+    };
+    if (state.isCutShort || state.plannedOffset != node.tables.position.nextOffset) {
+        wakeAt(state.plannedAt + planInterval);
+    }
+    if (!state.scratch.waiting.jobs.empty()) {
+        wakeAt(state.plannedAt + replanInterval);
+    }
+    if (state.nextBackoffEnd != LogTime::max()) {
+        const auto left = state.nextBackoffEnd - estimateLogTime(node, time);
+        wakeAt(time.now + std::max(left, planInterval));
+    }
+}
+
+bool ownsGroup(const Node &node, const PlannedGroup &group, const TickTime &time)
+{
+    return ownsWorker(node, group.placements.front().worker, time);
+}
+
+/** Tells whether a placement by another daemon is overdue and this daemon is to make it. */
+bool takesOver(const Node &node, const PlannedGroup &group, const TickTime &time)
+{
+    const auto &first = group.placements.front();
+    const auto it = node.scheduling.planned.find(keyOf(first.task));
+    if (it == node.scheduling.planned.end() || time.now - it->second.since < takeOverAfter) {
+        return false;
+    }
+    return isHomeOf(node, digestOf(node.tables.jobs.get<JobIdentity>(group.job).request), time);
+}
+
+/** Remembers where tasks go that other daemons are to place. */
+void rememberPlanned(PlannedTasks &next, const PlannedTasks &last, const PlannedGroup &group, const TickTime &time)
+{
+    for (const auto &it : group.placements) {
+        const auto known = last.find(keyOf(it.task));
+        next[keyOf(it.task)] = {it.worker, known != last.end() ? known->second.since : time.now};
+    }
+}
+
+/** Gathers placements of single tasks into commands, urgent ones apart. */
+class PlacementQueue
+{
+public:
+    PlacementQueue(Node &node, const TickTime &time) : m_node(node), m_time(time)
+    {
+    }
+
+    void add(PlannedGroup group)
+    {
+        if (group.allOrNone) {
+            propose(m_node, PlaceTasks{std::move(group.placements), true}, m_time, group.urgency == Urgency::Urgent);
+            return;
+        }
+        auto &open = group.urgency == Urgency::Urgent ? m_urgent : m_other;
+        open.placements.push_back(group.placements.front());
+        if (open.placements.size() == maxPlacementsPerCommand) {
+            close(open, &open == &m_urgent);
+        }
+    }
+
+    void flush()
+    {
+        close(m_urgent, true);
+        close(m_other, false);
+    }
+
+private:
+    void close(PlaceTasks &open, bool urgent)
+    {
+        if (!open.placements.empty()) {
+            propose(m_node, std::exchange(open, PlaceTasks{}), m_time, urgent);
+        }
+    }
+
+    Node &m_node;
+    const TickTime &m_time;
+    PlaceTasks m_urgent;
+    PlaceTasks m_other;
+};
+
+void proposeGroups(Node &node, Plan &plan, const TickTime &time)
+{
+    PlannedTasks planned;
+    PlacementQueue queue(node, time);
+    for (auto &group : plan.groups) {
+        if (ownsGroup(node, group, time) || takesOver(node, group, time)) {
+            queue.add(std::move(group));
+        } else {
+            rememberPlanned(planned, node.scheduling.planned, group, time);
+        }
+    }
+    queue.flush();
+    node.scheduling.planned = std::move(planned);
+}
+
+void proposePreemptions(Node &node, const Plan &plan, const TickTime &time)
+{
+    std::vector<AttemptNumber> stops;
+    for (const auto &it : plan.stops) {
+        if (ownsWorker(node, it.worker, time)) {
+            stops.push_back(it.attempt);
+        }
+    }
+    proposeStops(node, stops, StopCause::Preempted, time);
+}
+
+/** Finds out now and then which workers are this daemon's, for jobs that are placed as they come. */
+void refreshOwned(Node &node, const TickTime &time)
+{
+    auto &state = node.scheduling;
+    const auto size = node.tables.workers.capacity();
+    if (state.owned.size() == size && time.now - state.ownedAt < ownedInterval) {
+        return;
+    }
+    state.ownedAt = time.now;
+    state.owned.assign(size, 0);
+    node.tables.workers.forEach([&](WorkerRef it) { state.owned[it.index] = ownsWorker(node, it, time) ? 1 : 0; });
+}
+
+void makeAndPropose(Node &node, const TickTime &time)
+{
+    auto &state = node.scheduling;
+    const auto now = estimateLogTime(node, time);
+    fillRooms(state.scratch.rooms, node.tables, now);
+    fillTeamUse(state.scratch.teams, node.tables, state.scratch.rooms.capacity);
+    const auto proposed = collectProposed(node);
+    collectWaiting(state.scratch.waiting, node.tables, proposed.tasks, now);
+    const PlanInput input{node.tables, state.planned, proposed.stops, now, maxTasksPerPlan};
+    Plan plan = makePlan(node.settings.policy, state.scratch, input);
+    state.blocked = plan.blocked;
+    state.isCutShort = plan.isCutShort;
+    state.plannedOffset = node.tables.position.nextOffset;
+    state.plannedAt = time.now;
+    state.nextBackoffEnd = state.scratch.waiting.nextBackoffEnd;
+    state.hasPlan = true;
+    proposeGroups(node, plan, time);
+    proposePreemptions(node, plan, time);
+    drainWorkers(node, proposed.stops, time);
+    refreshOwned(node, time);
+}
+
+} // namespace
+
+void proposeStops(Node &node, const std::vector<AttemptNumber> &attempts, StopCause cause, const TickTime &time)
+{
+    for (std::size_t first = 0; first < attempts.size(); first += maxPlacementsPerCommand) {
+        const auto last = std::min(attempts.size(), first + maxPlacementsPerCommand);
+        const auto begin = attempts.begin();
+        propose(node,
+                StopAttempts{{begin + static_cast<std::ptrdiff_t>(first), begin + static_cast<std::ptrdiff_t>(last)},
+                             cause},
+                time);
+    }
+}
+
+bool isHomeOf(const Node &node, std::uint64_t key, const TickTime &time)
+{
+    std::uint64_t best = 0;
+    DaemonRef home;
+    node.tables.daemons.forEach([&](DaemonRef it) {
+        if (!isLiveDaemon(node, it, time)) {
+            return;
+        }
+        const std::uint64_t weight = digestOfBytes(node.tables.daemons.get<DaemonIdentity>(it).name) ^ key;
+        const auto mixed = XXH3_64bits(&weight, sizeof(weight));
+        if (!home.isSet() || mixed > best) {
+            best = mixed;
+            home = it;
+        }
+    });
+    return home.isSet() && home == selfRef(node);
+}
+
+void schedulingSystem(Node &node, const TickTime &time)
+{
+    if (node.phase != NodePhase::Serving || !node.view.fresh) {
+        return;
+    }
+    if (isPlanDue(node, time)) {
+        makeAndPropose(node, time);
+    }
+    setWake(node, time);
+}
+
+} // namespace flamingotally
--- /dev/null
+++ b/tests/fakes/table_builder.cpp
@@ -0,0 +1,83 @@
+#include "fakes/table_builder.h"
+
+namespace flamingotally
+{
+
+DomainRef TableBuilder::domain(const std::string &name)
+{
+    return tables.domains.insert({name}, {});
+}
+
+RackRef TableBuilder::rack(const std::string &name, DomainRef domain)
+{
+    return tables.racks.insert({name, domain});
+}
+
+WorkerRef TableBuilder::worker(RackRef rack, const Resources &total)
+{
+    const auto name = "worker" + std::to_string(tables.workers.capacity());
+    const auto domain = tables.racks.get<RackIdentity>(rack).domain;
+    return tables.workers.insert({name, {}, 1}, {domain, rack}, {total, {}, 0}, {});
+}
+
+TeamRef TableBuilder::team(const std::string &name, std::uint32_t share, const Resources &limit)
+{
+    TeamPolicy policy;
+    policy.share = share;
+    policy.limit = limit;
+    return tables.teams.insert({name}, policy, {});
+}
+
+JobRef TableBuilder::job(
+    TeamRef team, const ProfileSpec &treatment, const Resources &perTask, std::uint32_t count, LogTime since)
+{
+    JobIdentity identity;
+    identity.request = makeRequestId(WallTime{since.time_since_epoch()}, 0, ++m_requests);
+    identity.team = team;
+    JobSpec spec;
+    spec.treatment = treatment;
+    spec.perTask = perTask;
+    spec.count = count;
+    JobState state;
+    state.acceptedAt = since;
+    state.waiting = count;
+    const auto ref = tables.jobs.insert(identity, spec, state);
+    for (std::uint32_t n = 0; n < count; ++n) {
+        TaskState taskState;
+        taskState.waitingSince = since;
+        const auto added = tables.tasks.insert({ref, n}, taskState, {});
+        tables.jobs.get<JobState>(ref).tasks.push_back(added);
+    }
+    tables.teams.get<TeamUse>(team).waitingTasks += count;
+    return ref;
+}
+
+AttemptRef TableBuilder::place(TaskRef task, WorkerRef worker, LogTime at)
+{
+    const auto job = tables.tasks.get<TaskIdentity>(task).job;
+    const auto held = tables.jobs.get<JobSpec>(job).perTask;
+    AttemptState state;
+    state.held = held;
+    state.placedAt = at;
+    const auto attempt = tables.attempts.insert({tables.position.nextAttempt++, task, worker, 1}, state);
+    auto &taskState = tables.tasks.get<TaskState>(task);
+    taskState.phase = TaskPhase::Placed;
+    taskState.attempt = attempt;
+    ++taskState.attempts;
+    --tables.jobs.get<JobState>(job).waiting;
+    ++tables.jobs.get<JobState>(job).placed;
+    auto &room = tables.workers.get<WorkerRoom>(worker);
+    room.used += held;
+    ++room.attempts;
+    auto &use = tables.teams.get<TeamUse>(tables.jobs.get<JobIdentity>(job).team);
+    use.running += held;
+    --use.waitingTasks;
+    return attempt;
+}
+
+TaskRef TableBuilder::task(JobRef job, std::uint32_t ordinal) const
+{
+    return tables.jobs.get<JobState>(job).tasks[ordinal];
+}
+
+} // namespace flamingotally
