Add freshness, membership and leases

The view's age comes from own reads and from peers' heartbeats, bounded by the echo. Workers are probed, registered, polled and ordered by the daemon that hashing picks; bounds of starts and leases are set in the worker's own clock. An attempt is ended from outside by a mark and, after fence, lease and margin, a confirmation; kept leases also wait until every daemon of the domain has read the mark.

--- a/src/node_base.h
+++ b/src/node_base.h
@@ -116,7 +116,8 @@
     std::uint64_t digest = 0;
     bool leaving = false;
     bool readsLog = false;
-    Milliseconds sentAt{0}; ///< Sending time of its last heartbeat, to be echoed.
+    Milliseconds sentAt{0}; ///< Sending time of its newest heartbeat, to be echoed...
+    MonotonicTime sentHeardAt{}; ///< ... and when that arrived.
     std::uint64_t snapshotRecord = 0; ///< Where it knows a complete snapshot to begin.
     std::uint64_t comparedOffset = 0; ///< Last of its digests that was compared.
 };
@@ -140,6 +141,7 @@
     MonotonicTime polledAt{}; ///< When the exchange that waits was sent.
     MonotonicTime orderedAt{}; ///< When the exchange that carries orders was sent.
     MonotonicTime nextTryAt{}; ///< After a failure: no exchange before this.
+    MonotonicTime straysStoppedAt{}; ///< When attempts that are over were last ordered to stop.
     std::uint32_t failures = 0; ///< Exchanges failed in a row.
     bool polling = false; ///< An exchange that waits is under way.
     bool ordering = false; ///< An exchange that carries orders is under way.
@@ -333,9 +335,13 @@
     MonotonicTime snapshotAt{};
     ProposalRef leaveProposal; ///< Proposal to leave; unset or gone when there is none under way.
     MonotonicTime drainingSince{}; ///< When draining began; zero before.
+    bool joined = false; ///< Whether the log has held this incarnation's join.
+    ProposalRef versionProposal; ///< Proposal of a newer record version.
     ProposalRef joinProposal; ///< Proposal to join; unset or gone when there is none under way.
     std::vector<HostRow> hosts; ///< Host list as last read, ordered by name.
     MonotonicTime hostsHeardAt{}; ///< When it last arrived; zero before the first time.
+    bool hostsChecked = false; ///< Whether the last list was compared with the tables.
+    absl::flat_hash_map<std::string, MonotonicTime> missingSince; ///< Since when the list omits a host of the tables.
     absl::flat_hash_map<std::string, ProposalRef> hostProposals; ///< Proposals that the host list led to, by host.
     std::deque<TableDigest> digests; ///< Own digests of late, oldest first.
     SnapshotWork snapshot;
--- /dev/null
+++ b/src/systems/heartbeat.cpp
@@ -0,0 +1,172 @@
+#include "systems/heartbeat.h"
+
+#include "systems/freshness.h"
+
+#include <algorithm>
+
+namespace flamingotally
+{
+
+namespace
+{
+
+constexpr Milliseconds unknownAge{86'400'000}; ///< Said of a head that was never proven.
+constexpr Milliseconds longestAge{60'000}; ///< Older proofs are of no use and not taken.
+
+/** Tells whether a heartbeat can have been sent by a daemon that works. */
+bool isPlausible(const Heartbeat &heartbeat)
+{
+    return !heartbeat.daemon.empty() && heartbeat.headAge >= Milliseconds::zero()
+        && heartbeat.echoHeld >= Milliseconds::zero() && heartbeat.appliedOffset <= INT64_MAX
+        && heartbeat.head <= INT64_MAX;
+}
+
+/**
+ * Earliest time, by this daemon's clock, at which a heartbeat can have been sent: when the heartbeat that it echoes
+ * went out from here, plus the time its sender held it.
+ */
+std::optional<MonotonicTime> earliestSending(const Node &node, const ReceivedHeartbeat &received)
+{
+    const auto &heartbeat = received.heartbeat;
+    if (heartbeat.echoIncarnation != node.incarnation || heartbeat.echoHeld > longestAge) {
+        return std::nullopt;
+    }
+    const MonotonicTime sentAt = MonotonicTime{heartbeat.echoSentAt} + heartbeat.echoHeld;
+    return sentAt <= received.receivedAt ? std::optional(sentAt) : std::nullopt;
+}
+
+/** Row of the sender, made when it is new. Its fields are those of its newest incarnation. */
+Peer &peerOf(Node &node, const Heartbeat &heartbeat)
+{
+    auto &known = node.peerByName[heartbeat.daemon];
+    if (!node.peers.contains(known)) {
+        known = node.peers.insert(Peer{});
+    }
+    auto &peer = node.peers.get<Peer>(known);
+    if (heartbeat.incarnation > peer.incarnation) {
+        peer = {};
+        peer.daemon = heartbeat.daemon;
+        peer.incarnation = heartbeat.incarnation;
+    }
+    return peer;
+}
+
+/** Takes in what a heartbeat says of its sender. */
+void notePeer(Peer &peer, const ReceivedHeartbeat &received)
+{
+    const auto &heartbeat = received.heartbeat;
+    peer.heardAt = std::max(peer.heardAt, received.receivedAt);
+    if (heartbeat.sentAt < peer.sentAt) {
+        return;
+    }
+    peer.sentAt = heartbeat.sentAt;
+    peer.sentHeardAt = received.receivedAt;
+    peer.appliedOffset = heartbeat.appliedOffset;
+    peer.digestOffset = heartbeat.digestOffset;
+    peer.digest = heartbeat.digest;
+    peer.leaving = heartbeat.leaving;
+    peer.readsLog = heartbeat.readsLog;
+    peer.snapshotRecord = heartbeat.snapshotRecord;
+}
+
+/** Takes in what a heartbeat proves of the log's end. */
+void noteHead(Node &node, Peer &peer, const ReceivedHeartbeat &received)
+{
+    const auto sentAt = earliestSending(node, received);
+    if (!sentAt || received.heartbeat.headAge > longestAge) {
+        return;
+    }
+    const HeadEvidence evidence{received.heartbeat.head, *sentAt - received.heartbeat.headAge};
+    if (evidence.provenAt > peer.headAt) {
+        peer.head = evidence.head;
+        peer.headAt = evidence.provenAt;
+    }
+    addEvidence(node, evidence);
+}
+
+void takeHeartbeat(Node &node, const ReceivedHeartbeat &received)
+{
+    const auto &heartbeat = received.heartbeat;
+    if (!isPlausible(heartbeat)) {
+        ++node.counters.heartbeatsDropped;
+        return;
+    }
+    if (heartbeat.daemon == node.settings.name) {
+        return;
+    }
+    auto &peer = peerOf(node, heartbeat);
+    if (heartbeat.incarnation < peer.incarnation) {
+        ++node.counters.heartbeatsDropped;
+        return;
+    }
+    notePeer(peer, received);
+    noteHead(node, peer, received);
+}
+
+/** What this daemon says to all alike. */
+Heartbeat makeHeartbeat(const Node &node, const TickTime &time)
+{
+    Heartbeat heartbeat;
+    heartbeat.daemon = node.settings.name;
+    heartbeat.incarnation = node.incarnation;
+    heartbeat.head = node.view.newest.head;
+    const auto age = node.view.newest.provenAt == MonotonicTime{} ? unknownAge : time.now - node.view.newest.provenAt;
+    heartbeat.headAge = std::max(Milliseconds::zero(), age);
+    heartbeat.appliedOffset = node.tables.position.nextOffset;
+    if (!node.digests.empty()) {
+        heartbeat.digestOffset = node.digests.back().offset;
+        heartbeat.digest = node.digests.back().digest;
+    }
+    heartbeat.leaving = node.phase == NodePhase::Draining || node.phase == NodePhase::Drained;
+    heartbeat.readsLog = !isLogSilent(node, time);
+    heartbeat.sentAt = time.now.time_since_epoch();
+    heartbeat.snapshotRecord = node.snapshot.newestRecord;
+    return heartbeat;
+}
+
+/** Queues a heartbeat for one daemon, with the echo of what was last heard from it. */
+void sendHeartbeat(Node &node, Heartbeat heartbeat, const std::string &daemon, const std::string &address)
+{
+    if (const auto known = findRef(node.peerByName, daemon); node.peers.contains(known)) {
+        const auto &peer = node.peers.get<Peer>(known);
+        heartbeat.echoIncarnation = peer.incarnation;
+        heartbeat.echoSentAt = peer.sentAt;
+        heartbeat.echoHeld = MonotonicTime{heartbeat.sentAt} - peer.sentHeardAt;
+    }
+    node.outbox.heartbeats.push_back({address, std::move(heartbeat)});
+}
+
+} // namespace
+
+void takeHeartbeats(Node &node)
+{
+    for (const auto &it : node.inbox.heartbeats) {
+        takeHeartbeat(node, it);
+    }
+    node.inbox.heartbeats.clear();
+}
+
+void sendHeartbeats(Node &node, const TickTime &time)
+{
+    if (time.now < node.heartbeatSentAt + node.settings.heartbeatInterval && node.heartbeatSentAt != MonotonicTime{}) {
+        wakeBy(node, node.heartbeatSentAt + node.settings.heartbeatInterval);
+        return;
+    }
+    node.heartbeatSentAt = time.now;
+    wakeBy(node, time.now + node.settings.heartbeatInterval);
+    const auto heartbeat = makeHeartbeat(node, time);
+    node.tables.daemons.forEach([&](DaemonRef it) {
+        const auto &identity = node.tables.daemons.get<DaemonIdentity>(it);
+        if (identity.name != node.settings.name) {
+            sendHeartbeat(node, heartbeat, identity.name, identity.peerAddress);
+        }
+    });
+    for (const auto &it : node.hosts) {
+        const bool isNew = it.role == HostRole::Entry && !node.tables.lookups.daemons.contains(it.name);
+        if (isNew && it.name != node.settings.name) {
+            sendHeartbeat(node, heartbeat, it.name, it.address);
+        }
+    }
+}
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/systems/host_list.h
@@ -0,0 +1,18 @@
+/** @file host_list.h What the platform's host list says, and the records that follow from it. */
+#pragma once
+
+#include "node_func.h"
+
+namespace flamingotally
+{
+
+/** Takes in host lists that arrived, and asks for the next one when it is time. */
+void takeHostLists(Node &node, const TickTime &time);
+
+/** Proposes what the host list says of workers and daemons: leaving, back, gone. */
+void proposeFromHostList(Node &node, const TickTime &time);
+
+/** Row of a host; null when the list does not name it. */
+const HostRow *findHost(const Node &node, std::string_view name);
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/systems/lapse.cpp
@@ -0,0 +1,93 @@
+#include "systems/lapse.h"
+
+#include "systems/worker_order.h"
+
+namespace flamingotally
+{
+
+namespace
+{
+
+/**
+ * Tells whether every daemon of this daemon's domain has applied past an offset. Such a daemon has read a mark there
+ * and renews no more, also when its view is stale.
+ */
+bool hasDomainApplied(const Node &node, std::uint64_t offset)
+{
+    const auto domain = node.tables.daemons.get<DaemonIdentity>(selfRef(node)).domain;
+    bool hasApplied = true;
+    node.tables.daemons.forEach([&](DaemonRef it) {
+        const auto &identity = node.tables.daemons.get<DaemonIdentity>(it);
+        if (identity.domain != domain || identity.name == node.settings.name) {
+            return;
+        }
+        const auto known = findRef(node.peerByName, identity.name);
+        const bool isCurrent = known.isSet() && node.peers.get<Peer>(known).incarnation == identity.incarnation;
+        hasApplied = hasApplied && isCurrent && node.peers.get<Peer>(known).appliedOffset > offset;
+    });
+    return hasApplied;
+}
+
+/** Proposes a command about attempts and notes the proposal with each. */
+template<typename CommandT>
+void proposeLapse(Node &node, const CommandT &command, const TickTime &time)
+{
+    if (command.attempts.empty()) {
+        return;
+    }
+    const auto proposal = propose(node, command, time, true);
+    for (const auto it : command.attempts) {
+        attemptLinkOf(node, it).lapseProposal = proposal;
+    }
+}
+
+} // namespace
+
+void LapseCollector::consider(AttemptRef attempt, WorkerLinkRef ref)
+{
+    const bool isKept = treatmentOf(m_node.tables, attempt).whenCutOff == CutOffRule::Keep;
+    if (!m_node.view.fresh || (isKept && !isOfOwnDomain(m_node, attempt))) {
+        return;
+    }
+    const auto &state = m_node.tables.attempts.get<AttemptState>(attempt);
+    if (!state.lapsing) {
+        considerMark(attempt, m_node.workerLinks.get<WorkerLink>(ref));
+        return;
+    }
+    auto &row = attemptLinkOf(m_node, m_node.tables.attempts.get<AttemptIdentity>(attempt).number);
+    const bool isUnread = row.lapsingReadAt == MonotonicTime{};
+    if (isUnread || (isKept && !hasDomainApplied(m_node, state.lapsingOffset))) {
+        row.lapsingReadAt = m_time.now;
+    }
+    considerConfirmation(attempt, row);
+}
+
+void LapseCollector::considerMark(AttemptRef attempt, const WorkerLink &link)
+{
+    const auto lease = treatmentOf(m_node.tables, attempt).lease;
+    if (link.unreachableSince == MonotonicTime{} || m_time.now - link.unreachableSince < lease) {
+        return;
+    }
+    const auto number = m_node.tables.attempts.get<AttemptIdentity>(attempt).number;
+    const auto &row = attemptLinkOf(m_node, number);
+    if (!row.ended && !m_node.proposals.contains(row.lapseProposal)) {
+        m_marks.attempts.push_back(number);
+    }
+}
+
+void LapseCollector::considerConfirmation(AttemptRef attempt, AttemptLink &row)
+{
+    const auto &settings = m_node.settings;
+    const auto wait = settings.fence + treatmentOf(m_node.tables, attempt).lease + settings.leaseMargin;
+    if (m_time.now - row.lapsingReadAt >= wait && !m_node.proposals.contains(row.lapseProposal)) {
+        m_confirmations.attempts.push_back(row.attempt);
+    }
+}
+
+void LapseCollector::propose()
+{
+    proposeLapse(m_node, m_marks, m_time);
+    proposeLapse(m_node, m_confirmations, m_time);
+}
+
+} // namespace flamingotally
--- a/src/systems/read_log.cpp
+++ b/src/systems/read_log.cpp
@@ -62,7 +62,8 @@
 bool isOwnBatch(const Node &node, const LogEntry &entry)
 {
     return node.inFlight && entry.state == EntryState::Readable && entry.batch.daemon == node.settings.name
-        && entry.batch.incarnation == node.incarnation && entry.batch.sequence == node.inFlight->batch.sequence;
+        && entry.batch.incarnation == node.inFlight->batch.incarnation
+        && entry.batch.sequence == node.inFlight->batch.sequence;
 }
 
 /** Applies one record. */
--- /dev/null
+++ b/src/systems/worker_order.cpp
@@ -0,0 +1,237 @@
+#include "systems/worker_order.h"
+
+#include "systems/worker_link.h"
+
+namespace flamingotally
+{
+
+namespace
+{
+
+constexpr Milliseconds startInterval{500}; ///< Between two sends of one start.
+constexpr Milliseconds stopInterval{1'000}; ///< Between two sends of one stop.
+constexpr Milliseconds pollInterval{20}; ///< Shortest time between two exchanges that wait.
+constexpr std::int64_t renewalsPerLease = 3;
+
+/** Tells whether orders can be sent over a line now. */
+bool mayOrder(const WorkerLink &link)
+{
+    return link.owned && !link.ordering && link.bootId != 0 && link.unreachableSince == MonotonicTime{};
+}
+
+/** Tells whether a worker's own and its domain's state at this offset let it start something. */
+bool isInService(const Tables &tables, WorkerRef worker)
+{
+    const auto domain = tables.workers.get<WorkerPlace>(worker).domain;
+    return tables.domains.get<DomainState>(domain).service == DomainService::In
+        && tables.workers.get<WorkerState>(worker).service != WorkerService::Leaving;
+}
+
+/** Tells whether this daemon may prolong a lease. Reading a lapsing mark ends that for good. */
+bool mayRenew(const Node &node, AttemptRef attempt)
+{
+    if (node.tables.attempts.get<AttemptState>(attempt).lapsing) {
+        return false;
+    }
+    const bool isKept = treatmentOf(node.tables, attempt).whenCutOff == CutOffRule::Keep;
+    return node.view.fresh || (isKept && isOfOwnDomain(node, attempt));
+}
+
+bool hasOrders(const WorkerSync &sync)
+{
+    return !sync.starts.empty() || !sync.renewals.empty() || !sync.stops.empty();
+}
+
+WorkerSync makeSync(const WorkerLink &link)
+{
+    WorkerSync sync;
+    sync.worker = link.name;
+    sync.address = link.address;
+    sync.bootId = link.bootId;
+    sync.ackedReport = link.ackedReport;
+    return sync;
+}
+
+} // namespace
+
+const ProfileSpec &treatmentOf(const Tables &tables, AttemptRef attempt)
+{
+    const auto task = tables.attempts.get<AttemptIdentity>(attempt).task;
+    return tables.jobs.get<JobSpec>(tables.tasks.get<TaskIdentity>(task).job).treatment;
+}
+
+bool isOfOwnDomain(const Node &node, AttemptRef attempt)
+{
+    const auto self = selfRef(node);
+    const auto worker = node.tables.attempts.get<AttemptIdentity>(attempt).worker;
+    return self.isSet()
+        && node.tables.daemons.get<DaemonIdentity>(self).domain == node.tables.workers.get<WorkerPlace>(worker).domain;
+}
+
+OrderBook::OrderBook(Node &node, const TickTime &time) : m_node(node), m_time(time)
+{
+    m_syncs.resize(node.workerLinks.capacity());
+}
+
+WorkerSync &OrderBook::syncOf(WorkerLinkRef link)
+{
+    return m_syncs[link.index];
+}
+
+void OrderBook::consider(AttemptRef attempt, WorkerLinkRef ref)
+{
+    const auto &link = m_node.workerLinks.get<WorkerLink>(ref);
+    const auto &identity = m_node.tables.attempts.get<AttemptIdentity>(attempt);
+    if (!mayOrder(link) || identity.bootId != link.bootId) {
+        return;
+    }
+    auto &row = attemptLinkOf(m_node, identity.number);
+    if (row.ended) {
+        return;
+    }
+    auto &sync = syncOf(ref);
+    const auto &state = m_node.tables.attempts.get<AttemptState>(attempt);
+    if (state.stop != StopCause::None) {
+        orderStop(attempt, row, sync);
+    } else if (!row.confirmed && m_node.view.fresh && !state.lapsing) {
+        if (isInService(m_node.tables, identity.worker)) {
+            orderStart(attempt, link, row, sync);
+        } else {
+            orderRevocation(attempt, row, sync);
+        }
+    }
+    if (row.confirmed && mayRenew(m_node, attempt)) {
+        orderRenewal(attempt, link, row, sync);
+    }
+}
+
+void OrderBook::orderStart(AttemptRef attempt, const WorkerLink &link, AttemptLink &row, WorkerSync &sync)
+{
+    if (row.startSentAt != MonotonicTime{}) {
+        if (m_time.now < row.startSentAt + startInterval) {
+            return;
+        }
+        countRetry(m_node, RetryReason::StartUnconfirmed);
+    }
+    const auto &tables = m_node.tables;
+    const auto &identity = tables.attempts.get<AttemptIdentity>(attempt);
+    const auto &task = tables.tasks.get<TaskIdentity>(identity.task);
+    const auto &spec = tables.jobs.get<JobSpec>(task.job);
+    const auto earliest = earliestWorkerTime(link, m_time);
+    StartOrder order;
+    order.attempt = identity.number;
+    order.request = tables.jobs.get<JobIdentity>(task.job).request;
+    order.ordinal = task.ordinal;
+    order.held = tables.attempts.get<AttemptState>(attempt).held;
+    order.payload = spec.payload;
+    order.notAfter = earliest + m_node.settings.startSlack;
+    order.leaseUntil = earliest + spec.treatment.lease;
+    sync.starts.push_back(std::move(order));
+    row.startSentAt = m_time.now;
+    row.renewedAt = m_time.now;
+}
+
+void OrderBook::orderRevocation(AttemptRef attempt, AttemptLink &row, WorkerSync &sync)
+{
+    if (row.stopSentAt != MonotonicTime{} && m_time.now < row.stopSentAt + stopInterval) {
+        return;
+    }
+    StopOrder order;
+    order.attempt = m_node.tables.attempts.get<AttemptIdentity>(attempt).number;
+    order.cause = StopCause::Drained;
+    order.onlyBeforeStart = true;
+    sync.stops.push_back(order);
+    row.stopSentAt = m_time.now;
+}
+
+void OrderBook::orderRenewal(AttemptRef attempt, const WorkerLink &link, AttemptLink &row, WorkerSync &sync)
+{
+    const auto lease = treatmentOf(m_node.tables, attempt).lease;
+    if (row.renewedAt != MonotonicTime{} && m_time.now < row.renewedAt + lease / renewalsPerLease) {
+        return;
+    }
+    const auto number = m_node.tables.attempts.get<AttemptIdentity>(attempt).number;
+    sync.renewals.push_back({number, earliestWorkerTime(link, m_time) + lease});
+    row.renewedAt = m_time.now;
+}
+
+void OrderBook::orderStop(AttemptRef attempt, AttemptLink &row, WorkerSync &sync)
+{
+    if (row.stopSentAt != MonotonicTime{} && m_time.now < row.stopSentAt + stopInterval) {
+        return;
+    }
+    const auto cause = m_node.tables.attempts.get<AttemptState>(attempt).stop;
+    const bool isMoved = cause == StopCause::Preempted || cause == StopCause::Drained;
+    StopOrder order;
+    order.attempt = m_node.tables.attempts.get<AttemptIdentity>(attempt).number;
+    order.cause = cause;
+    order.checkpoint = isMoved && treatmentOf(m_node.tables, attempt).checkpoint;
+    sync.stops.push_back(order);
+    row.stopSentAt = m_time.now;
+}
+
+void OrderBook::stopStrays(WorkerLinkRef ref)
+{
+    auto &link = m_node.workerLinks.get<WorkerLink>(ref);
+    const bool isEarly = link.straysStoppedAt != MonotonicTime{} && m_time.now < link.straysStoppedAt + stopInterval;
+    if (!mayOrder(link) || isEarly) {
+        return;
+    }
+    for (const auto it : link.active) {
+        if (isOver(m_node, it)) {
+            syncOf(ref).stops.push_back({it, StopCause::Cancelled, false, false});
+            link.straysStoppedAt = m_time.now;
+        }
+    }
+}
+
+void OrderBook::sendOrders(WorkerLink &link, WorkerSync &sync)
+{
+    const bool isUnknown = link.heardAt == MonotonicTime{} || link.unreachableSince != MonotonicTime{};
+    const bool isProbe = isUnknown && m_time.now >= link.nextTryAt;
+    if (link.ordering || (!hasOrders(sync) && !isProbe)) {
+        return;
+    }
+    auto orders = std::move(sync);
+    sync = makeSync(link);
+    sync.starts = std::move(orders.starts);
+    sync.renewals = std::move(orders.renewals);
+    sync.stops = std::move(orders.stops);
+    m_node.outbox.workerSyncs.push_back(std::move(sync));
+    link.ordering = true;
+    link.orderedAt = m_time.now;
+}
+
+void OrderBook::sendPoll(WorkerLink &link)
+{
+    const bool isReachable = link.heardAt != MonotonicTime{} && link.unreachableSince == MonotonicTime{};
+    if (link.polling || !isReachable) {
+        return;
+    }
+    if (link.polledAt != MonotonicTime{} && m_time.now < link.polledAt + pollInterval) {
+        m_node.leaseScan.dueAt = std::min(m_node.leaseScan.dueAt, link.polledAt + pollInterval);
+        return;
+    }
+    auto sync = makeSync(link);
+    sync.wait = m_node.settings.workerPoll;
+    m_node.outbox.workerSyncs.push_back(std::move(sync));
+    link.polling = true;
+    link.polledAt = m_time.now;
+}
+
+void OrderBook::send()
+{
+    m_node.workerLinks.forEach([&](WorkerLinkRef it) {
+        auto &link = m_node.workerLinks.get<WorkerLink>(it);
+        if (!link.owned) {
+            return;
+        }
+        sendOrders(link, syncOf(it));
+        sendPoll(link);
+        if (link.nextTryAt > m_time.now) {
+            m_node.leaseScan.dueAt = std::min(m_node.leaseScan.dueAt, link.nextTryAt);
+        }
+    });
+}
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/systems/worker_report.cpp
@@ -0,0 +1,223 @@
+#include "systems/backoff.h"
+#include "systems/host_list.h"
+#include "systems/worker_link.h"
+
+#include <algorithm>
+
+namespace flamingotally
+{
+
+namespace
+{
+
+constexpr Milliseconds syncBackoff{100};
+constexpr Milliseconds longestSyncBackoff{2'000};
+constexpr std::size_t endsPerCommand = 64;
+constexpr std::size_t endBytesPerCommand = 32 * 1024;
+
+void noteFailure(Node &node, WorkerLink &link, const TickTime &time)
+{
+    ++link.failures;
+    if (link.unreachableSince == MonotonicTime{}) {
+        link.unreachableSince = time.now;
+    }
+    link.nextTryAt = time.now + backoffPause(node.random, syncBackoff, longestSyncBackoff, link.failures);
+    countRetry(node, RetryReason::WorkerUnreachable);
+}
+
+/** Forgets what was known of an earlier boot. */
+void noteBoot(WorkerLink &link, std::uint64_t bootId)
+{
+    link.bootId = bootId;
+    link.clock = {};
+    link.ackedReport = 0;
+    link.pendingEnds.clear();
+    link.active.clear();
+}
+
+/** Marks the attempts that a worker runs as confirmed. */
+void noteActive(Node &node, WorkerLink &link, const WorkerReport &report)
+{
+    link.active = report.active;
+    for (const auto number : report.active) {
+        if (!node.tables.lookups.attempts.contains(number)) {
+            continue;
+        }
+        auto &attempt = attemptLinkOf(node, number);
+        node.counters.starts += attempt.confirmed ? 0 : 1;
+        attempt.confirmed = true;
+    }
+    for (const auto &[number, used] : report.usage) {
+        if (node.tables.lookups.attempts.contains(number)) {
+            attemptLinkOf(node, number).usage = used;
+        }
+    }
+}
+
+/** Keeps ends that are new here. */
+void noteEnds(WorkerLink &link, const WorkerReport &report)
+{
+    for (const auto &it : report.ends) {
+        const auto last = link.pendingEnds.empty() ? link.ackedReport : link.pendingEnds.back().report;
+        if (it.report > last) {
+            link.pendingEnds.push_back(it);
+        }
+    }
+}
+
+void takeReport(Node &node, const WorkerReport &report, const TickTime &time)
+{
+    const auto known = findRef(node.workerLinkByName, report.worker);
+    if (!node.workerLinks.contains(known)) {
+        return;
+    }
+    auto &link = node.workerLinks.get<WorkerLink>(known);
+    (report.waited ? link.polling : link.ordering) = false;
+    if (report.failed) {
+        noteFailure(node, link, time);
+        return;
+    }
+    if (report.bootId < link.bootId) {
+        return;
+    }
+    link.unreachableSince = {};
+    link.failures = 0;
+    link.nextTryAt = {};
+    if (report.bootId > link.bootId) {
+        noteBoot(link, report.bootId);
+    }
+    noteEnds(link, report);
+    if (report.clock >= link.clock) {
+        link.clock = report.clock;
+        link.heardAt = report.receivedAt;
+        link.total = report.total;
+        noteActive(node, link, report);
+    }
+}
+
+/** Tells whether the tables say of a worker what its list row and its report say, or know a later boot. */
+bool isRegistered(const Node &node, WorkerRef worker, const WorkerLink &link)
+{
+    const auto &identity = node.tables.workers.get<WorkerIdentity>(worker);
+    const auto &place = node.tables.workers.get<WorkerPlace>(worker);
+    const bool isSame = identity.bootId == link.bootId && identity.address == link.address
+        && node.tables.workers.get<WorkerRoom>(worker).total == link.total
+        && node.tables.domains.get<DomainIdentity>(place.domain).name == link.domain
+        && node.tables.racks.get<RackIdentity>(place.rack).name == link.rack;
+    return isSame || identity.bootId > link.bootId;
+}
+
+void proposeRegistration(Node &node, const WorkerLink &link, const TickTime &time)
+{
+    const auto worker = findRef(node.tables.lookups.workers, link.name);
+    if (!link.owned || link.bootId == 0 || (!link.listed && !worker.isSet())) {
+        return;
+    }
+    if (worker.isSet() && isRegistered(node, worker, link)) {
+        return;
+    }
+    auto &proposal = node.hostProposals[link.name];
+    if (node.proposals.contains(proposal)) {
+        return;
+    }
+    const RegisterWorker command{link.name, link.address, link.domain, link.rack, link.total, link.bootId};
+    proposal = propose(node, command, time, true);
+}
+
+/** Acknowledges, in order, the ends that the log has made known here. */
+void acknowledgeEnds(const Node &node, WorkerLink &link)
+{
+    const auto isOpen = [&](const ReportedEnd &it) {
+        return !isOver(node, it.end.attempt);
+    };
+    const auto open = std::ranges::find_if(link.pendingEnds, isOpen);
+    if (open != link.pendingEnds.begin()) {
+        link.ackedReport = std::prev(open)->report;
+        link.pendingEnds.erase(link.pendingEnds.begin(), open);
+    }
+}
+
+/** Ends that were collected from all workers, on their way into commands of bounded size. */
+class EndCollector
+{
+public:
+    EndCollector(Node &node, const TickTime &time) : m_node(node), m_time(time)
+    {
+    }
+
+    void add(const AttemptEnd &end)
+    {
+        m_bytes += end.result.body.size();
+        m_command.ends.push_back(end);
+        if (m_command.ends.size() >= endsPerCommand || m_bytes >= endBytesPerCommand) {
+            flush();
+        }
+    }
+
+    /** Proposes what was collected, and notes the proposal with each attempt. */
+    void flush()
+    {
+        if (m_command.ends.empty()) {
+            return;
+        }
+        std::vector<AttemptNumber> numbers;
+        for (const auto &it : m_command.ends) {
+            numbers.push_back(it.attempt);
+        }
+        const auto proposal = propose(m_node, std::move(m_command), m_time, true);
+        for (const auto it : numbers) {
+            attemptLinkOf(m_node, it).endProposal = proposal;
+        }
+        m_command = {};
+        m_bytes = 0;
+    }
+
+private:
+    Node &m_node;
+    TickTime m_time;
+    EndAttempts m_command;
+    std::size_t m_bytes = 0;
+};
+
+/** Proposes the ends of one worker that are not under way. */
+void collectEnds(Node &node, const WorkerLink &link, EndCollector &collector)
+{
+    for (const auto &it : link.pendingEnds) {
+        const auto attempt = findRef(node.tables.lookups.attempts, it.end.attempt);
+        if (!attempt.isSet() || node.tables.attempts.get<AttemptIdentity>(attempt).bootId != link.bootId) {
+            continue;
+        }
+        auto &row = attemptLinkOf(node, it.end.attempt);
+        row.ended = true;
+        if (!node.proposals.contains(row.endProposal)) {
+            collector.add(it.end);
+        }
+    }
+}
+
+} // namespace
+
+void takeWorkerReports(Node &node, const TickTime &time)
+{
+    if (!node.inbox.workerReports.empty()) {
+        node.leaseScan.dueAt = time.now;
+    }
+    for (const auto &it : node.inbox.workerReports) {
+        takeReport(node, it, time);
+    }
+    node.inbox.workerReports.clear();
+}
+
+void proposeFromReports(Node &node, const TickTime &time)
+{
+    EndCollector collector(node, time);
+    node.workerLinks.forEach([&](WorkerLinkRef it) {
+        auto &link = node.workerLinks.get<WorkerLink>(it);
+        acknowledgeEnds(node, link);
+        proposeRegistration(node, link, time);
+        collectEnds(node, link, collector);
+    });
+    collector.flush();
+}
+
+} // namespace flamingotally
