Serve callers and operators over HTTP: routes, access, actions, results, metrics

Routes are one table of method, path and access. What changes something becomes a typed action in the inbox and is answered when the tick has; reads are answered from the tables with the age of the view. Each refusal, rejection and retry reason is a label.

--- /dev/null
+++ b/src/net/front.cpp
@@ -0,0 +1,142 @@
+#include "net/front.h"
+
+#include "codec/view_codec.h"
+#include "net/front_result.h"
+#include "node_func.h"
+#include "table/reason_table.h"
+#include "table/route_table.h"
+
+namespace flamingotally
+{
+
+namespace
+{
+
+constexpr unsigned httpOk = 200;
+constexpr unsigned httpAccepted = 202;
+constexpr unsigned httpNotFound = 404;
+constexpr unsigned httpMethodNotAllowed = 405;
+
+std::optional<KeyDigest> digestOfBearer(const HttpRequest &request)
+{
+    return request.bearer.empty() ? std::nullopt : std::optional(digestOfKey(request.bearer));
+}
+
+HttpError errorOf(RouteFault fault)
+{
+    auto error = malformedRequest(fault == RouteFault::WrongMethod ? "The path does not take this method."
+                                                                   : "There is nothing at this path.");
+    error.status = fault == RouteFault::WrongMethod ? httpMethodNotAllowed : httpNotFound;
+    return error;
+}
+
+HttpError errorOf(const CallerAnswer &answer)
+{
+    HttpError error;
+    error.reason = answer.reason;
+    error.step = answer.step;
+    error.peer = answer.peer;
+    error.detail = answer.detail;
+    error.retryAfter = answer.retryAfter;
+    error.id = answer.request.isSet() ? toString(answer.request) : std::string();
+    return error;
+}
+
+/** Tells whether a request waits for a tick: it changes something, or waits for the end of a job. */
+bool needsTick(const RouteMatch &match, const HttpRequest &request)
+{
+    const bool waits = match.route == Route::ShowJob && !fieldValue(request.query, "waitMs").empty();
+    return waits || rowOf(routeTable, match.route).access == Access::Admission;
+}
+
+} // namespace
+
+void Front::handle(const HttpRequest &request, HttpResponder respond)
+{
+    const auto [fault, match] = findRoute(request.method, request.path);
+    if (fault != RouteFault::None) {
+        refuse(errorOf(fault), respond);
+        return;
+    }
+    const auto context = contextOf(rightsOf(m_node.tables, m_node.settings, digestOfBearer(request)));
+    if (const auto reason = testAccess(context, match); reason != Reason::None) {
+        refuse({reason, Step::Authenticate}, respond);
+        return;
+    }
+    if (needsTick(match, request)) {
+        enqueue(match, request, std::move(respond));
+        return;
+    }
+    switch (match.route) {
+    case Route::ShowJob: {
+        const auto id = parseRequestId(match.subject);
+        respond(id ? showJob(context, *id, httpOk) : makeErrorResponse({Reason::RequestIdMalformed}));
+        return;
+    }
+    case Route::ShowResult:
+        showResult(context, match, request, m_ports.send, std::move(respond));
+        return;
+    case Route::ShowMetrics:
+        respond({httpOk, std::string(Metrics::contentType), {}, m_metrics.serialize(m_node, m_ports.now())});
+        return;
+    default:
+        respond(readRoute(context, match, request));
+    }
+}
+
+void Front::enqueue(const RouteMatch &match, const HttpRequest &request, HttpResponder respond)
+{
+    auto result = toAction(match, request);
+    if (const auto *error = std::get_if<HttpError>(&result)) {
+        refuse(*error, respond);
+        return;
+    }
+    const auto handle = ++m_lastHandle;
+    m_pending[handle] = {match.route, std::move(respond)};
+    m_node.inbox.callerRequests.push_back({handle, digestOfBearer(request), std::get<CallerAction>(std::move(result))});
+    m_ports.wake();
+}
+
+void Front::answer(const CallerAnswer &answer)
+{
+    const auto it = m_pending.find(answer.handle);
+    if (it == m_pending.end()) {
+        return;
+    }
+    const auto pending = std::move(it->second);
+    m_pending.erase(it);
+    pending.respond(toResponse(pending.route, answer));
+}
+
+void Front::refuse(const HttpError &error, const HttpResponder &respond)
+{
+    countRefusal(m_node, error.reason);
+    respond(makeErrorResponse(error));
+}
+
+HttpResponse Front::toResponse(Route route, const CallerAnswer &answer) const
+{
+    if (answer.reason != Reason::None && answer.reason != Reason::RequestRepeated) {
+        return makeErrorResponse(errorOf(answer));
+    }
+    const auto context = contextOf({});
+    switch (route) {
+    case Route::SubmitJob:
+    case Route::CancelJob: {
+        const auto job = findJob(m_node.tables, answer.request);
+        const bool isOpen = job.isSet() && m_node.tables.jobs.get<JobState>(job).outcome == Outcome::None;
+        return showJob(context, answer.request, isOpen ? httpAccepted : httpOk);
+    }
+    case Route::ShowJob:
+        return showJob(context, answer.request, httpOk);
+    default:
+        return {httpOk, "application/json", {}, encodeChange(answer.result, viewAgeOf(m_node, m_ports.now()))};
+    }
+}
+
+ReadContext Front::contextOf(const BearerRights &rights) const
+{
+    return {m_node, m_ports.now(), rights};
+}
+
+} // namespace flamingotally
