--- a/src/systems/admission.cpp
+++ b/src/systems/admission.cpp
@@ -3,6 +3,7 @@
 #include "job_func.h"
 #include "key_func.h"
 #include "node_func.h"
+#include "systems/scheduling.h"
 #include "systems/systems.h"
 #include "table/reason_table.h"
 
--- a/src/systems/systems.h
+++ b/src/systems/systems.h
@@ -21,12 +21,6 @@
 /** Takes in workers' reports; sends starts, renewals and stops; marks and confirms lapses. */
 void leaseSystem(Node &node, const TickTime &time);
 
-/**
- * Chooses workers for a job that is not in the log yet, so that its acceptance and its start ride in one record.
- * @return Workers of this daemon for as many tasks as there is room, all or none for a gang.
- */
-std::vector<FirstPlacement> planNewJob(Node &node, const SubmitJob &job, TeamRef team, const TickTime &time);
-
 /** Judges callers' requests and turns them into proposals. */
 void admissionSystem(Node &node, const TickTime &time);
 
