Keep house: withdraw, end, stop, expire, and set failing workers aside

Work that waited past its bound, tasks that fail wherever they run, runs past their bound and old rows stayed for ever, and a worker that failed everything went on getting work. Housekeeping now proposes the end of each: waiting work by the home of its job, old rows by one daemon chosen by rendezvous, the rest by the worker's owner.

A worker is set aside when its failure rate stands out against the fleet's and tasks of jobs that run well elsewhere failed there; a job whose tasks fail on several workers speaks against itself only. A worker set aside gets one task after 30 s, later with each failure, and is put back after two successes. Only tasks that were never attempted are withdrawn, so that "not run" stays true.

--- a/src/policy/room.cpp
+++ b/src/policy/room.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+constexpr std::uint32_t maxProbeDoublings = 10;
+
 double reciprocal(std::int64_t amount)
 {
     return amount > 0 ? 1.0 / static_cast<double>(amount) : 0.0;
@@ -21,8 +23,9 @@
         return RowUse::Closed;
     }
     if (state.service == WorkerService::SetAside) {
-        const bool isDue = state.changedAt + probePause <= now;
-        return isDue && tables.workers.get<WorkerRoom>(worker).attempts == 0 ? RowUse::Probe : RowUse::Closed;
+        const auto pause = probePause * (std::int64_t{1} << std::min(state.recentFailures, maxProbeDoublings));
+        return state.changedAt + pause <= now && tables.workers.get<WorkerRoom>(worker).attempts == 0 ? RowUse::Probe
+                                                                                                      : RowUse::Closed;
     }
     return state.service == WorkerService::Live ? RowUse::Open : RowUse::Closed;
 }
--- a/src/policy/room.h
+++ b/src/policy/room.h
@@ -9,7 +9,7 @@
 /** Time over which a returned failure domain is filled again, so that its workers are not all started on at once. */
 constexpr Milliseconds domainRamp{4'000};
 
-/** Least pause before a worker that was set aside is given one task to prove itself. */
+/** Least pause before a worker that was set aside is given one task to prove itself; doubles with each failure. */
 constexpr Milliseconds probePause{30'000};
 
 /** Whether a plan may use a worker. */
--- a/src/policy/task_need.cpp
+++ b/src/policy/task_need.cpp
@@ -54,7 +54,8 @@
     const bool isShort = treatment.kind == WorkKind::Request;
     need.mayBorrow = isShort || treatment.checkpoint;
     need.mayUseReserved = isShort || treatment.urgency == Urgency::Urgent;
-    need.mayProbe = treatment.idempotent && treatment.kind == WorkKind::Batch && treatment.urgency != Urgency::Urgent;
+    const bool isPatient = treatment.kind == WorkKind::Batch && treatment.urgency != Urgency::Urgent;
+    need.mayProbe = isPatient && treatment.idempotent && treatment.maxRetries > 0;
     return need;
 }
 
--- a/src/systems/proposed_work.cpp
+++ b/src/systems/proposed_work.cpp
@@ -7,14 +7,6 @@
 namespace
 {
 
-void takeProposed(PlanScratch &scratch, WorkerRef worker, TeamRef team, const Resources &amount)
-{
-    const auto row = worker.index;
-    if (row < scratch.rooms.size() && scratch.rooms.workers[row] == worker && team.index < scratch.teams.use.size()) {
-        takeRoom(scratch.rooms, scratch.teams, row, team, amount);
-    }
-}
-
 TeamRef teamOf(const Tables &tables, const SubmitJob &command)
 {
     if (tables.keys.contains(command.key)) {
@@ -28,30 +20,27 @@
 
 /** Collects the kinds of commands that touch room; the others are passed over. */
 struct Collector {
-    Node &node;
+    const Tables &tables;
     ProposedWork &work;
 
     void operator()(const SubmitJob &command) const
     {
-        const auto team = teamOf(node.tables, command);
+        const auto team = teamOf(tables, command);
         for (const auto &it : command.placements) {
-            takeProposed(node.scheduling.scratch, it.worker, team, command.perTask);
+            work.rooms.push_back({it.worker, team, command.perTask});
         }
     }
 
     void operator()(const PlaceTasks &command) const
     {
-        const auto &tables = node.tables;
         for (const auto &it : command.placements) {
             if (!tables.tasks.contains(it.task) || tables.tasks.get<TaskState>(it.task).phase != TaskPhase::Waiting) {
                 continue;
             }
             const auto job = tables.tasks.get<TaskIdentity>(it.task).job;
             work.tasks.insert(keyOf(it.task));
-            takeProposed(node.scheduling.scratch,
-                         it.worker,
-                         tables.jobs.get<JobIdentity>(job).team,
-                         tables.jobs.get<JobSpec>(job).perTask);
+            const auto team = tables.jobs.get<JobIdentity>(job).team;
+            work.rooms.push_back({it.worker, team, tables.jobs.get<JobSpec>(job).perTask});
         }
     }
 
@@ -60,6 +49,13 @@
         work.stops.insert(command.attempts.begin(), command.attempts.end());
     }
 
+    void operator()(const WithdrawTasks &command) const
+    {
+        for (const auto it : command.tasks) {
+            work.tasks.insert(keyOf(it));
+        }
+    }
+
     template<typename Other>
     void operator()(const Other & /*command*/) const
     {
@@ -68,11 +64,11 @@
 
 } // namespace
 
-ProposedWork collectProposed(Node &node)
+ProposedWork collectProposed(const Node &node)
 {
     ProposedWork work;
     node.proposals.forEach([&](ProposalRef it) {
-        std::visit(Collector{node, work}, node.proposals.get<Proposal>(it).command);
+        std::visit(Collector{node.tables, work}, node.proposals.get<Proposal>(it).command);
     });
     return work;
 }
--- a/src/systems/scheduling.cpp
+++ b/src/systems/scheduling.cpp
@@ -1,7 +1,7 @@
 #include "systems/scheduling.h"
 
-#include "core/digest.h"
 #include "node_func.h"
+#include "systems/rendezvous.h"
 #include "systems/systems.h"
 
 #include <algorithm>
@@ -49,18 +49,15 @@
 void setWake(Node &node, const TickTime &time)
 {
     const auto &state = node.scheduling;
-    auto wakeAt = [&](MonotonicTime at) {
-        node.nextWake = std::min(node.nextWake, at);
-    };
     if (state.isCutShort || state.plannedOffset != node.tables.position.nextOffset) {
-        wakeAt(state.plannedAt + planInterval);
+        wakeBy(node, state.plannedAt + planInterval);
     }
     if (!state.scratch.waiting.jobs.empty()) {
-        wakeAt(state.plannedAt + replanInterval);
+        wakeBy(node, state.plannedAt + replanInterval);
     }
     if (state.nextBackoffEnd != LogTime::max()) {
         const auto left = state.nextBackoffEnd - estimateLogTime(node, time);
-        wakeAt(time.now + std::max(left, planInterval));
+        wakeBy(node, time.now + std::max(left, planInterval));
     }
 }
 
@@ -77,7 +74,7 @@
     if (it == node.scheduling.planned.end() || time.now - it->second.since < takeOverAfter) {
         return false;
     }
-    return isHomeOf(node, digestOf(node.tables.jobs.get<JobIdentity>(group.job).request), time);
+    return isHomeOf(node, group.job, time);
 }
 
 /** Remembers where tasks go that other daemons are to place. */
@@ -156,6 +153,18 @@
     proposeStops(node, stops, StopCause::Preempted, time);
 }
 
+/** Takes what proposals need from the room that the next plan sees. */
+void takeProposed(PlanScratch &scratch, const ProposedWork &proposed)
+{
+    for (const auto &it : proposed.rooms) {
+        const auto row = it.worker.index;
+        const bool isKnown = row < scratch.rooms.size() && scratch.rooms.workers[row] == it.worker;
+        if (isKnown && it.team.index < scratch.teams.use.size()) {
+            takeRoom(scratch.rooms, scratch.teams, row, it.team, it.amount);
+        }
+    }
+}
+
 /** Finds out now and then which workers are this daemon's, for jobs that are placed as they come. */
 void refreshOwned(Node &node, const TickTime &time)
 {
@@ -176,6 +185,7 @@
     fillRooms(state.scratch.rooms, node.tables, now);
     fillTeamUse(state.scratch.teams, node.tables, state.scratch.rooms.capacity);
     const auto proposed = collectProposed(node);
+    takeProposed(state.scratch, proposed);
     collectWaiting(state.scratch.waiting, node.tables, proposed.tasks, now);
     const PlanInput input{node.tables, state.planned, proposed.stops, now, maxTasksPerPlan};
     Plan plan = makePlan(node.settings.policy, state.scratch, input);
@@ -205,22 +215,10 @@
     }
 }
 
-bool isHomeOf(const Node &node, std::uint64_t key, const TickTime &time)
+bool isHomeOf(const Node &node, JobRef job, const TickTime &time)
 {
-    std::uint64_t best = 0;
-    DaemonRef home;
-    node.tables.daemons.forEach([&](DaemonRef it) {
-        if (!isLiveDaemon(node, it, time)) {
-            return;
-        }
-        const std::uint64_t weight = digestOfBytes(node.tables.daemons.get<DaemonIdentity>(it).name) ^ key;
-        const auto mixed = XXH3_64bits(&weight, sizeof(weight));
-        if (!home.isSet() || mixed > best) {
-            best = mixed;
-            home = it;
-        }
-    });
-    return home.isSet() && home == selfRef(node);
+    const auto &id = node.tables.jobs.get<JobIdentity>(job).request.bytes;
+    return isChosen(node, {reinterpret_cast<const char *>(id.data()), id.size()}, time);
 }
 
 void schedulingSystem(Node &node, const TickTime &time)
--- a/src/systems/scheduling.h
+++ b/src/systems/scheduling.h
@@ -17,17 +17,22 @@
  */
 std::vector<FirstPlacement> planNewJob(Node &node, const SubmitJob &job, TeamRef team, const TickTime &time);
 
+/** Room that a proposed placement needs. */
+struct ProposedRoom {
+    WorkerRef worker;
+    TeamRef team;
+    Resources amount;
+};
+
 /** What this daemon has proposed and not read back yet. */
 struct ProposedWork {
-    TaskKeySet tasks; ///< Tasks whose placement is proposed.
+    TaskKeySet tasks; ///< Tasks whose placement or withdrawal is proposed.
     AttemptNumberSet stops; ///< Attempts whose stop is proposed.
+    std::vector<ProposedRoom> rooms;
 };
 
-/**
- * Collects what is proposed and not read back.
- * @param node The daemon. The room that proposals need is taken from its scratch.
- */
-ProposedWork collectProposed(Node &node);
+/** Collects what is proposed and not read back. */
+ProposedWork collectProposed(const Node &node);
 
 /**
  * Stops services and what can be checkpointed on workers that leave and in failure domains out of service, so that
@@ -42,11 +47,7 @@
  */
 void proposeStops(Node &node, const std::vector<AttemptNumber> &attempts, StopCause cause, const TickTime &time);
 
-/**
- * Chooses by rendezvous hashing, among all live daemons, the one that sees to something.
- * @param key Digest of what is seen to.
- * @return Whether it is this daemon.
- */
-bool isHomeOf(const Node &node, std::uint64_t key, const TickTime &time);
+/** Tells whether this daemon, of all that live, sees to a job's waiting tasks. */
+bool isHomeOf(const Node &node, JobRef job, const TickTime &time);
 
 } // namespace flamingotally
--- /dev/null
+++ b/tests/scheduling_test.cpp
@@ -0,0 +1,443 @@
+/** @file scheduling_test.cpp Scheduling and housekeeping of one daemon over tables filled by hand. */
+#include "fakes/table_builder.h"
+#include "node_func.h"
+#include "systems/scheduling.h"
+#include "systems/systems.h"
+#include "systems/worker_health.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace flamingotally;
+
+namespace
+{
+
+constexpr Resources hugeLimit{1'000'000'000, 1'000'000'000, 1'000'000};
+
+constexpr Resources cores(std::int64_t n)
+{
+    return {n * 1000, n * 1024, 0};
+}
+
+ProfileSpec profile(WorkKind kind, bool checkpoint = false)
+{
+    ProfileSpec spec;
+    spec.kind = kind;
+    spec.checkpoint = checkpoint;
+    return spec;
+}
+
+/** All commands of one kind that a node has proposed. */
+template<typename CommandT>
+std::vector<CommandT> proposalsOf(const Node &node)
+{
+    std::vector<CommandT> found;
+    node.proposals.forEach([&](ProposalRef it) {
+        if (const auto *command = std::get_if<CommandT>(&node.proposals.get<Proposal>(it).command)) {
+            found.push_back(*command);
+        }
+    });
+    return found;
+}
+
+} // namespace
+
+class SchedulingTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SchedulingTest);
+    CPPUNIT_TEST(proposesPlacementsOfItsOwnWorkers);
+    CPPUNIT_TEST(proposesNothingTwice);
+    CPPUNIT_TEST(proposesNothingOnAStaleView);
+    CPPUNIT_TEST(takesOverWhatIsOverdue);
+    CPPUNIT_TEST(placesANewJobAtOnce);
+    CPPUNIT_TEST(queuesANewJobBehindWaitingWork);
+    CPPUNIT_TEST(newJobsShareWhatIsLeft);
+    CPPUNIT_TEST(drainMovesServicesInWaves);
+    CPPUNIT_TEST(drainCheckpointsBatchAndLeavesTheRest);
+    CPPUNIT_TEST(returnedDomainIsFilledInSteps);
+    CPPUNIT_TEST(withdrawsWhatWaitedTooLong);
+    CPPUNIT_TEST(neverWithdrawsWhatMayHaveRun);
+    CPPUNIT_TEST(endsWhatFailsEverywhere);
+    CPPUNIT_TEST(stopsOverruns);
+    CPPUNIT_TEST(expiresOldJobs);
+    CPPUNIT_TEST(setsAsideAWorkerThatFailsEverything);
+    CPPUNIT_TEST(aPoisonedJobSetsNobodyAside);
+    CPPUNIT_TEST(probesAWorkerAndPutsItBack);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_node = Node{};
+        m_builder = TableBuilder{};
+        m_north = m_builder.domain("north");
+        m_rack = m_builder.rack("n1", m_north);
+        m_team = m_builder.team("blue", 1, hugeLimit);
+        m_node.settings.name = "self";
+        m_node.phase = NodePhase::Serving;
+        m_node.view.fresh = true;
+        addDaemon("self", m_north);
+        m_time = {MonotonicTime{Milliseconds{100'000}}, {}};
+    }
+
+    void proposesPlacementsOfItsOwnWorkers()
+    {
+        const auto south = m_builder.domain("south");
+        addDaemon("other", south);
+        hearFrom("other");
+        const auto own = m_builder.worker(m_rack, cores(4));
+        m_builder.worker(m_builder.rack("s1", south), cores(4));
+        addWaiting(cores(4), 2);
+        schedule();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, placements().size());
+        CPPUNIT_ASSERT(placements()[0].worker == own);
+    }
+
+    void proposesNothingTwice()
+    {
+        m_builder.worker(m_rack, cores(8));
+        addWaiting(cores(1), 2);
+        schedule();
+        pass(Milliseconds{500});
+        schedule();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, placements().size());
+    }
+
+    void proposesNothingOnAStaleView()
+    {
+        m_builder.worker(m_rack, cores(8));
+        addWaiting(cores(1), 2);
+        m_node.view.fresh = false;
+        schedule();
+        m_node.view.fresh = true;
+        m_node.phase = NodePhase::Draining;
+        schedule();
+        CPPUNIT_ASSERT(placements().empty());
+    }
+
+    void takesOverWhatIsOverdue()
+    {
+        const auto south = m_builder.domain("south");
+        addDaemon("other", south);
+        m_builder.worker(m_builder.rack("s1", south), cores(64));
+        addWaiting(cores(1), 16);
+        hearFrom("other");
+        schedule();
+        CPPUNIT_ASSERT(placements().empty());
+        pass(Milliseconds{1'500});
+        hearFrom("other");
+        schedule();
+        const auto taken = placements().size();
+        CPPUNIT_ASSERT(taken == 0 || taken == 16); // The home of the job is one of the two.
+        pass(Milliseconds{10'000});
+        schedule();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{16}, placements().size());
+    }
+
+    void placesANewJobAtOnce()
+    {
+        const auto worker = m_builder.worker(m_rack, cores(4));
+        schedule();
+        const auto found = planNewJob(m_node, newJob(cores(2), 3), m_team, m_time);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, found.size());
+        CPPUNIT_ASSERT(found[0].worker == worker && found[1].ordinal == 1);
+    }
+
+    void queuesANewJobBehindWaitingWork()
+    {
+        m_builder.worker(m_rack, cores(4));
+        addWaiting(cores(5), 1);
+        schedule();
+        CPPUNIT_ASSERT(planNewJob(m_node, newJob(cores(1), 1), m_team, m_time).empty());
+    }
+
+    void newJobsShareWhatIsLeft()
+    {
+        m_builder.worker(m_rack, cores(4));
+        schedule();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, planNewJob(m_node, newJob(cores(3), 1), m_team, m_time).size());
+        CPPUNIT_ASSERT(planNewJob(m_node, newJob(cores(3), 1), m_team, m_time).empty());
+    }
+
+    void drainMovesServicesInWaves()
+    {
+        const auto worker = m_builder.worker(m_rack, cores(8));
+        const auto job = m_builder.job(m_team, profile(WorkKind::Service), cores(1), 8, now());
+        for (std::uint32_t n = 0; n < 8; ++n) {
+            m_builder.place(m_builder.task(job, n), worker, now());
+        }
+        takeOut(m_north);
+        schedule();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, stops(StopCause::Drained).size());
+        pass(Milliseconds{25'000});
+        schedule();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, stops(StopCause::Drained).size());
+    }
+
+    void drainCheckpointsBatchAndLeavesTheRest()
+    {
+        const auto worker = m_builder.worker(m_rack, cores(8));
+        const auto movable = m_builder.job(m_team, profile(WorkKind::Batch, true), cores(1), 2, now());
+        const auto fixed = m_builder.job(m_team, profile(WorkKind::Batch), cores(1), 2, now());
+        for (std::uint32_t n = 0; n < 2; ++n) {
+            m_builder.place(m_builder.task(movable, n), worker, now());
+            m_builder.place(m_builder.task(fixed, n), worker, now());
+        }
+        m_builder.tables.workers.get<WorkerState>(worker).service = WorkerService::Leaving;
+        schedule();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, stops(StopCause::Drained).size());
+    }
+
+    void returnedDomainIsFilledInSteps()
+    {
+        m_builder.worker(m_rack, cores(64));
+        addWaiting(cores(1), 64);
+        auto &domain = m_builder.tables.domains.get<DomainState>(m_north);
+        domain.version = 2;
+        domain.changedAt = now();
+        pass(Milliseconds{1'000});
+        schedule();
+        const auto soon = placements().size();
+        CPPUNIT_ASSERT(soon > 0 && soon < 32);
+        pass(Milliseconds{9'000});
+        schedule();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{64}, placements().size());
+    }
+
+    void withdrawsWhatWaitedTooLong()
+    {
+        auto bounded = profile(WorkKind::Batch);
+        bounded.maxWait = Milliseconds{5'000};
+        m_builder.job(m_team, bounded, cores(1), 3, now());
+        keepHouse();
+        CPPUNIT_ASSERT(proposalsOf<WithdrawTasks>(m_node).empty());
+        pass(Milliseconds{5'000});
+        keepHouse();
+        pass(Milliseconds{1'000});
+        keepHouse();
+        const auto found = proposalsOf<WithdrawTasks>(m_node);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, found[0].tasks.size());
+        CPPUNIT_ASSERT(found[0].outcome == Outcome::Withdrawn);
+    }
+
+    void neverWithdrawsWhatMayHaveRun()
+    {
+        auto bounded = profile(WorkKind::Batch);
+        bounded.maxWait = Milliseconds{5'000};
+        const auto job = m_builder.job(m_team, bounded, cores(1), 1, now());
+        m_builder.tables.tasks.get<TaskState>(m_builder.task(job, 0)).attempts = 1;
+        pass(Milliseconds{60'000});
+        keepHouse();
+        CPPUNIT_ASSERT(proposalsOf<WithdrawTasks>(m_node).empty());
+    }
+
+    void endsWhatFailsEverywhere()
+    {
+        const auto job = m_builder.job(m_team, profile(WorkKind::Service), cores(1), 1, now());
+        auto &task = m_builder.tables.tasks.get<TaskState>(m_builder.task(job, 0));
+        task.failures = 5;
+        pass(Milliseconds{400'000});
+        keepHouse();
+        CPPUNIT_ASSERT(proposalsOf<WithdrawTasks>(m_node).empty()); // Once a minute is not often.
+        task.failures = 10;
+        pass(Milliseconds{1'000});
+        keepHouse();
+        const auto found = proposalsOf<WithdrawTasks>(m_node);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+        CPPUNIT_ASSERT(found[0].outcome == Outcome::Failed);
+    }
+
+    void stopsOverruns()
+    {
+        const auto worker = m_builder.worker(m_rack, cores(8));
+        auto bounded = profile(WorkKind::Batch);
+        bounded.maxRun = Milliseconds{10'000};
+        const auto job = m_builder.job(m_team, bounded, cores(1), 1, now());
+        m_builder.place(m_builder.task(job, 0), worker, now());
+        keepHouse();
+        CPPUNIT_ASSERT(stops(StopCause::Overrun).empty());
+        pass(Milliseconds{10'000});
+        keepHouse();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stops(StopCause::Overrun).size());
+    }
+
+    void expiresOldJobs()
+    {
+        const auto job = m_builder.job(m_team, profile(WorkKind::Batch), cores(1), 1, now());
+        auto &state = m_builder.tables.jobs.get<JobState>(job);
+        state.outcome = Outcome::Succeeded;
+        state.endedAt = now();
+        state.waiting = 0;
+        keepHouse();
+        CPPUNIT_ASSERT(proposalsOf<ExpireRecords>(m_node).empty());
+        pass(m_node.settings.jobRetention + Milliseconds{1});
+        keepHouse();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, proposalsOf<ExpireRecords>(m_node).size());
+    }
+
+    void setsAsideAWorkerThatFailsEverything()
+    {
+        const auto bad = addFleet();
+        fail(bad, 9);
+        for (int n = 0; n < 3; ++n) {
+            const auto job = m_builder.job(m_team, profile(WorkKind::Batch), cores(1), 1, now());
+            failTask(m_builder.task(job, 0), bad, 1);
+        }
+        keepHouse();
+        const auto found = proposalsOf<SetWorkerService>(m_node);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+        CPPUNIT_ASSERT(found[0].worker == bad && found[0].service == WorkerService::SetAside);
+    }
+
+    void aPoisonedJobSetsNobodyAside()
+    {
+        const auto worker = addFleet();
+        fail(worker, 9);
+        const auto job = m_builder.job(m_team, profile(WorkKind::Batch), cores(1), 9, now());
+        for (std::uint32_t n = 0; n < 9; ++n) {
+            failTask(m_builder.task(job, n), m_builder.tables.workers.at(n % 3), 1);
+        }
+        keepHouse();
+        CPPUNIT_ASSERT(proposalsOf<SetWorkerService>(m_node).empty());
+    }
+
+    void probesAWorkerAndPutsItBack()
+    {
+        const auto worker = m_builder.worker(m_rack, cores(8));
+        auto &state = m_builder.tables.workers.get<WorkerState>(worker);
+        state.service = WorkerService::SetAside;
+        state.changedAt = now();
+        auto retried = profile(WorkKind::Batch);
+        retried.maxRetries = 2;
+        m_builder.job(m_team, retried, cores(1), 5, now());
+        schedule();
+        CPPUNIT_ASSERT(placements().empty());
+        pass(Milliseconds{31'000});
+        schedule();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, placements().size());
+        m_builder.tables.workers.get<WorkerState>(worker).recentEnds = 2;
+        keepHouse();
+        const auto found = proposalsOf<SetWorkerService>(m_node);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+        CPPUNIT_ASSERT(found[0].service == WorkerService::Live);
+    }
+
+private:
+    LogTime now() const
+    {
+        return LogTime{m_time.now.time_since_epoch()};
+    }
+
+    void pass(Milliseconds time)
+    {
+        m_time.now += time;
+    }
+
+    void addDaemon(const std::string &name, DomainRef domain)
+    {
+        auto &tables = m_builder.tables;
+        tables.lookups.daemons[name] = tables.daemons.insert({name, {}, {}, domain, 0, 1}, {});
+    }
+
+    void hearFrom(const std::string &name)
+    {
+        Peer peer;
+        peer.daemon = name;
+        peer.heardAt = m_time.now;
+        m_node.peerByName[name] = m_node.peers.insert(peer);
+    }
+
+    JobRef addWaiting(const Resources &perTask, std::uint32_t count)
+    {
+        return m_builder.job(m_team, profile(WorkKind::Batch), perTask, count, now());
+    }
+
+    SubmitJob newJob(const Resources &perTask, std::uint32_t count)
+    {
+        SubmitJob job;
+        job.profile = m_node.tables.profiles.insert({"batch", 1, false}, profile(WorkKind::Batch));
+        job.perTask = perTask;
+        job.count = count;
+        return job;
+    }
+
+    /** Ten workers, the first of which is returned, with a record of good work. */
+    WorkerRef addFleet()
+    {
+        for (int n = 0; n < 10; ++n) {
+            const auto worker = m_builder.worker(m_rack, cores(8));
+            m_builder.tables.workers.get<WorkerState>(worker).recentEnds = n == 0 ? 0 : 20;
+        }
+        return m_builder.tables.workers.at(0);
+    }
+
+    void fail(WorkerRef worker, std::uint32_t times)
+    {
+        m_builder.tables.workers.get<WorkerState>(worker).recentEnds += times;
+        m_builder.tables.workers.get<WorkerState>(worker).recentFailures += times;
+    }
+
+    void failTask(TaskRef task, WorkerRef worker, std::uint32_t times)
+    {
+        m_builder.tables.tasks.get<TaskState>(task).lastFailedOn = worker;
+        m_builder.tables.tasks.get<TaskState>(task).failures = times;
+    }
+
+    void takeOut(DomainRef domain)
+    {
+        auto &state = m_builder.tables.domains.get<DomainState>(domain);
+        state.service = DomainService::Out;
+        state.changedAt = now();
+    }
+
+    /** Hands the builder's tables to the node, as if a record had been applied now. */
+    void refresh()
+    {
+        ++m_builder.tables.position.nextOffset;
+        m_node.tables = m_builder.tables;
+        m_node.tables.position.time = now();
+        m_node.view.entryReceivedAt = m_time.now;
+    }
+
+    void schedule()
+    {
+        refresh();
+        schedulingSystem(m_node, m_time);
+    }
+
+    void keepHouse()
+    {
+        refresh();
+        housekeepingSystem(m_node, m_time);
+    }
+
+    std::vector<Placement> placements() const
+    {
+        std::vector<Placement> all;
+        for (const auto &it : proposalsOf<PlaceTasks>(m_node)) {
+            all.insert(all.end(), it.placements.begin(), it.placements.end());
+        }
+        return all;
+    }
+
+    std::vector<AttemptNumber> stops(StopCause cause) const
+    {
+        std::vector<AttemptNumber> all;
+        for (const auto &it : proposalsOf<StopAttempts>(m_node)) {
+            if (it.cause == cause) {
+                all.insert(all.end(), it.attempts.begin(), it.attempts.end());
+            }
+        }
+        return all;
+    }
+
+    Node m_node;
+    TableBuilder m_builder;
+    DomainRef m_north;
+    RackRef m_rack;
+    TeamRef m_team;
+    TickTime m_time;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SchedulingTest);
