--- a/bench/capacity_slopes.cpp
+++ b/bench/capacity_slopes.cpp
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <functional>
+#include <random>
 
 namespace flamingotally
 {
@@ -115,8 +116,8 @@
         command.key = findRef(tables.lookups.keys, fmt::format("team-{}", n % teamCount));
         command.profile = findRef(tables.lookups.profiles, std::string("batch"));
         command.perTask = taskSize;
-        command.payload = std::string(payloadBytes, 'p');
-        command.bodyDigest = n;
+        command.payload = payload();
+        command.bodyDigest = digestOfBytes(command.payload);
         command.placements = {{0, tables.workers.at(n % workerCount)}};
         return command;
     }
@@ -124,6 +125,18 @@
     Tables tables;
 
 private:
+    /** Random hexadecimal digits: half as long when compressed, as JSON with few repeats is. */
+    std::string payload()
+    {
+        std::string text;
+        while (text.size() < payloadBytes) {
+            text += fmt::format("{:016x}", m_random());
+        }
+        text.resize(payloadBytes);
+        return text;
+    }
+
+    std::mt19937_64 m_random;
     std::uint64_t m_sequence = 0;
     Batch m_last;
 };
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -5,7 +5,7 @@
     build-essential g++ cmake ninja-build ccache pkg-config clang-format clang-tidy curl
     libboost1.81-dev libboost-json1.81-dev libboost-program-options1.81-dev
     libabsl-dev prometheus-cpp-dev libfmt-dev libcereal-dev libtomlplusplus-dev
-    libcppunit-dev librapidcheck-dev libssl-dev libxxhash-dev gnuplot-nox
+    libcppunit-dev librapidcheck-dev libssl-dev libxxhash-dev libzstd-dev gnuplot-nox
 )
 missing=()
 for package in "${PACKAGES[@]}"; do
--- a/src/codec/cereal_codec.cpp
+++ b/src/codec/cereal_codec.cpp
@@ -1,5 +1,6 @@
 #include "codec/cereal_codec.h"
 
+#include "codec/compression.h"
 #include "command_func.h"
 #include "core/error.h"
 #include "core/fields.h"
@@ -48,21 +49,14 @@
     return makeError(absl::StatusCode::kInvalidArgument, step, "", what);
 }
 
-/**
- * Decodes a version and, when it is supported, a value. cereal throws on short or wrong input; that ends here.
- */
-template<typename T, typename Version>
-absl::StatusOr<T> decodeVersioned(std::string_view bytes, Version newest, Step step)
+/** Decodes one value that takes all the bytes. cereal throws on short or wrong input; that ends here. */
+template<typename T>
+absl::StatusOr<T> decode(std::string_view bytes, Step step)
 {
     std::istringstream stream{std::string(bytes)};
     try {
         cereal::PortableBinaryInputArchive archive(stream);
-        Version version{};
-        archive(version);
-        if (version == 0 || version > newest) {
-            return makeError(absl::StatusCode::kUnimplemented, step, "", "version is not supported");
-        }
-        T value;
+        T value{};
         archive(value);
         if (stream.peek() != std::istringstream::traits_type::eof()) {
             return malformed(step, "bytes left over");
@@ -73,6 +67,38 @@
     }
 }
 
+/** Bytes that a version takes in front of a value. */
+template<typename Version>
+constexpr std::size_t versionBytes = sizeof(Version) + 1;
+
+/** Reads the version in front of a value, and judges whether this build knows it. */
+template<typename Version>
+absl::Status testVersion(std::string_view bytes, Version newest, Step step)
+{
+    const auto version = decode<Version>(bytes.substr(0, versionBytes<Version>), step);
+    if (!version.ok()) {
+        return version.status();
+    }
+    if (*version == 0 || *version > newest) {
+        return makeError(absl::StatusCode::kUnimplemented, step, "", "version is not supported");
+    }
+    return absl::OkStatus();
+}
+
+/** Decodes a version and the compressed value behind it. */
+template<typename T>
+absl::StatusOr<T> decodeCompressed(std::string_view bytes, std::uint32_t newest, std::size_t maxBytes, Step step)
+{
+    if (const auto status = testVersion(bytes, newest, step); !status.ok()) {
+        return status;
+    }
+    const auto body = decompressBytes(bytes.substr(versionBytes<std::uint32_t>), maxBytes);
+    if (!body.ok()) {
+        return body.status();
+    }
+    return decode<T>(*body, step);
+}
+
 } // namespace
 
 /** Writes the fields of a batch that follow its version. */
@@ -84,7 +110,7 @@
 
 std::string encodeBatch(const Batch &batch)
 {
-    return encode(batch.recordVersion, batch);
+    return encode(batch.recordVersion) + compressBytes(encode(batch));
 }
 
 absl::StatusOr<Batch> decodeBatch(std::string_view bytes)
@@ -92,17 +118,17 @@
     if (bytes.size() > maxBatchBytes) {
         return malformed(Step::ReadLog, "batch is too large");
     }
-    return decodeVersioned<Batch>(bytes, limits::recordVersion, Step::ReadLog);
+    return decodeCompressed<Batch>(bytes, limits::recordVersion, maxBatchBytes, Step::ReadLog);
 }
 
 std::string encodeTables(const Tables &tables)
 {
-    return encode(snapshotVersion, tables);
+    return encode(snapshotVersion) + compressBytes(encode(tables));
 }
 
 absl::StatusOr<Tables> decodeTables(std::string_view bytes)
 {
-    auto tables = decodeVersioned<Tables>(bytes, snapshotVersion, Step::LoadSnapshot);
+    auto tables = decodeCompressed<Tables>(bytes, snapshotVersion, maxTablesBytes, Step::LoadSnapshot);
     if (tables.ok()) {
         rebuildLookups(*tables);
     }
@@ -111,7 +137,7 @@
 
 std::string encodeHeartbeat(const Heartbeat &heartbeat)
 {
-    return encode(heartbeatVersion, heartbeat);
+    return encode(heartbeatVersion) + encode(heartbeat);
 }
 
 absl::StatusOr<Heartbeat> decodeHeartbeat(std::string_view bytes)
@@ -119,7 +145,10 @@
     if (bytes.size() > maxHeartbeatBytes) {
         return malformed(Step::Heartbeat, "heartbeat is too large");
     }
-    return decodeVersioned<Heartbeat>(bytes, heartbeatVersion, Step::Heartbeat);
+    if (const auto status = testVersion(bytes, heartbeatVersion, Step::Heartbeat); !status.ok()) {
+        return status;
+    }
+    return decode<Heartbeat>(bytes.substr(versionBytes<std::uint8_t>), Step::Heartbeat);
 }
 
 } // namespace flamingotally
--- a/src/codec/cereal_codec.h
+++ b/src/codec/cereal_codec.h
@@ -17,6 +17,9 @@
 /** Largest encoded batch that is decoded. */
 constexpr std::size_t maxBatchBytes = 1024 * 1024;
 
+/** Largest tables that are decoded, before compression. */
+constexpr std::size_t maxTablesBytes = 512 * 1024 * 1024;
+
 /** Encodes a batch. Its record version comes first, so that any build can read that much. */
 std::string encodeBatch(const Batch &batch);
 
--- /dev/null
+++ b/src/codec/compression.cpp
@@ -0,0 +1,64 @@
+#include "codec/compression.h"
+
+#include "core/error.h"
+
+#include <zstd.h>
+
+#include <memory>
+
+namespace flamingotally
+{
+
+namespace
+{
+
+constexpr int compressionLevel = 3;
+
+struct FreeContext {
+    void operator()(ZSTD_CCtx *context) const
+    {
+        ZSTD_freeCCtx(context);
+    }
+};
+
+/** The thread's compression context: making one anew costs more than compressing a small record. */
+ZSTD_CCtx *compressionContext()
+{
+    thread_local const std::unique_ptr<ZSTD_CCtx, FreeContext> context(ZSTD_createCCtx());
+    return context.get();
+}
+
+absl::Status malformed(std::string_view what)
+{
+    return makeError(absl::StatusCode::kInvalidArgument, Step::ReadLog, "", what);
+}
+
+} // namespace
+
+std::string compressBytes(std::string_view bytes)
+{
+    std::string frame(ZSTD_compressBound(bytes.size()), '\0');
+    const auto n = ZSTD_compressCCtx(
+        compressionContext(), frame.data(), frame.size(), bytes.data(), bytes.size(), compressionLevel);
+    frame.resize(ZSTD_isError(n) != 0 ? 0 : n);
+    return frame;
+}
+
+absl::StatusOr<std::string> decompressBytes(std::string_view bytes, std::size_t maxBytes)
+{
+    const auto length = ZSTD_getFrameContentSize(bytes.data(), bytes.size());
+    if (length == ZSTD_CONTENTSIZE_ERROR || length == ZSTD_CONTENTSIZE_UNKNOWN) {
+        return malformed("compressed frame is malformed");
+    }
+    if (length > maxBytes) {
+        return malformed("compressed frame is too large");
+    }
+    std::string result(length, '\0');
+    const auto n = ZSTD_decompress(result.data(), result.size(), bytes.data(), bytes.size());
+    if (ZSTD_isError(n) != 0 || n != length) {
+        return malformed("compressed frame is damaged");
+    }
+    return result;
+}
+
+} // namespace flamingotally
