Fetch a long result by the attempt that gave it

A worker keeps results under attempt numbers, and the attempt's row is gone when its task has ended: the result now remembers it. An empty result needs no digest.

--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -221,7 +221,9 @@
     }
     if (end.outcome == Outcome::Succeeded) {
         noteWorkerHealth(tables, identity.worker, end.outcome);
-        tables.tasks.get<TaskResult>(identity.task) = end.result;
+        auto &result = tables.tasks.get<TaskResult>(identity.task);
+        result = end.result;
+        result.attempt = identity.number;
     }
     const auto step = nextStepOf(treatment, task, state.stop, end.outcome);
     if (isCancelled || step == NextStep::End) {
--- a/src/job_base.h
+++ b/src/job_base.h
@@ -104,12 +104,13 @@
     std::string body; ///< The answer, when it is small enough for the record.
     std::uint64_t length = 0; ///< Length of the whole answer in bytes.
     std::uint64_t digest = 0; ///< XXH3 of the whole answer.
-    std::string heldBy; ///< Name of the worker that holds a longer answer.
+    std::string heldBy; ///< Name of the worker that holds a longer answer...
+    AttemptNumber attempt = 0; ///< ... under this attempt. Filled in when the end is applied.
 
     template<typename Visitor>
     void fields(Visitor &&visitor)
     {
-        visitor(body, length, digest, heldBy);
+        visitor(body, length, digest, heldBy, attempt);
     }
 };
 
--- a/src/net/front_result.cpp
+++ b/src/net/front_result.cpp
@@ -35,7 +35,8 @@
 HttpResponse toResponse(const WantedResult &wanted, std::string body)
 {
     const auto &result = wanted.task.result;
-    if (body.size() != result.length || digestOfBytes(body) != result.digest) {
+    const bool isWhole = body.size() == result.length && (body.empty() || digestOfBytes(body) == result.digest);
+    if (!isWhole) {
         return refused(Reason::ResultTruncated, wanted, result.heldBy);
     }
     HttpResponse response;
@@ -66,7 +67,7 @@
 {
     HttpCall call;
     call.address = address;
-    call.target = fmt::format("/v1/results/{}/{}", toString(wanted.id), wanted.task.ordinal);
+    call.target = fmt::format("/v1/results/{}", wanted.task.result.attempt);
     call.timeout = fetchTimeout;
     call.maxResponseBytes = maxResultBytes;
     call.step = Step::FetchResult;
