--- a/bench/capacity_slopes.cpp
+++ b/bench/capacity_slopes.cpp
@@ -2,9 +2,8 @@
  * @file capacity_slopes.cpp Measures what each row and each record costs one daemon: memory, time to apply, encoded
  * bytes, digest and snapshot. docs/CAPACITY.md works out the roles from these slopes.
  */
+#include "cell_log.h"
 #include "codec/cereal_codec.h"
-#include "command_func.h"
-#include "core/digest.h"
 
 #include <fmt/format.h>
 
@@ -13,7 +12,6 @@
 #include <chrono>
 #include <cstdlib>
 #include <functional>
-#include <random>
 
 namespace flamingotally
 {
@@ -21,15 +19,6 @@
 namespace
 {
 
-constexpr std::size_t workerCount = 690;
-constexpr std::size_t daemonCount = 9;
-constexpr std::size_t runningTasks = 6'500;
-constexpr std::size_t teamCount = 62;
-constexpr std::size_t payloadBytes = 200;
-constexpr LogTime start{Milliseconds{1'796'000'000'000}};
-constexpr Resources workerSize{64'000, 262'144, 8};
-constexpr Resources taskSize{1'000, 1'024, 0};
-
 /** What one run of a function cost. */
 struct Cost {
     double microseconds = 0; ///< Time for each item.
@@ -53,94 +42,6 @@
     return {took.count() / static_cast<double>(items), grown / static_cast<double>(items)};
 }
 
-/** Tables that are filled through the log, as a daemon fills them. */
-class CellLog
-{
-public:
-    std::vector<CommandResult> run(std::vector<Command> commands)
-    {
-        LogEntry entry;
-        entry.offset = tables.position.nextOffset;
-        entry.appendedAt = start + Milliseconds{static_cast<std::int64_t>(entry.offset)};
-        entry.batch.daemon = "daemon-0";
-        entry.batch.incarnation = 1;
-        entry.batch.sequence = ++m_sequence;
-        entry.batch.commands = std::move(commands);
-        m_last = std::move(entry.batch);
-        entry.batch = m_last;
-        return applyEntry(tables, entry).commands;
-    }
-
-    /** Encoded size of the last batch, in bytes. */
-    std::size_t encodedBytes() const
-    {
-        return encodeBatch(m_last).size();
-    }
-
-    void join()
-    {
-        for (std::size_t n = 0; n < daemonCount; ++n) {
-            const auto name = fmt::format("daemon-{}", n);
-            run({JoinDaemon{name, "127.0.0.1:1", "127.0.0.1:2", fmt::format("d{}", n % 4), 1, 1}});
-        }
-    }
-
-    void addWorker(std::size_t n)
-    {
-        run({RegisterWorker{fmt::format("worker-{}", n),
-                            "127.0.0.1:9000",
-                            fmt::format("d{}", n % 4),
-                            fmt::format("rack-{}", n / 16),
-                            workerSize,
-                            1}});
-    }
-
-    void addTeam(std::size_t n)
-    {
-        const auto name = fmt::format("team-{}", n);
-        TeamPolicy policy;
-        policy.limit = workerSize * static_cast<std::int64_t>(workerCount);
-        policy.queueLimit = 1'000'000;
-        KeyDigest digest{};
-        digest[0] = static_cast<std::uint8_t>(n);
-        digest[1] = 1;
-        run({SetTeam{{}, name, policy, 0}});
-        run({GrantKey{{}, name, digest, name, KeyRole::Submitter}});
-    }
-
-    SubmitJob submission(std::size_t n)
-    {
-        SubmitJob command;
-        command.request = makeRequestId(WallTime{start.time_since_epoch()}, n, n);
-        command.name = "render";
-        command.key = findRef(tables.lookups.keys, fmt::format("team-{}", n % teamCount));
-        command.profile = findRef(tables.lookups.profiles, std::string("batch"));
-        command.perTask = taskSize;
-        command.payload = payload();
-        command.bodyDigest = digestOfBytes(command.payload);
-        command.placements = {{0, tables.workers.at(n % workerCount)}};
-        return command;
-    }
-
-    Tables tables;
-
-private:
-    /** Random hexadecimal digits: half as long when compressed, as JSON with few repeats is. */
-    std::string payload()
-    {
-        std::string text;
-        while (text.size() < payloadBytes) {
-            text += fmt::format("{:016x}", m_random());
-        }
-        text.resize(payloadBytes);
-        return text;
-    }
-
-    std::mt19937_64 m_random;
-    std::uint64_t m_sequence = 0;
-    Batch m_last;
-};
-
 void print(std::string_view what, const Cost &cost)
 {
     fmt::print("{:<44} {:>10.2f} us {:>10.0f} B\n", what, cost.microseconds, cost.bytes);
@@ -155,24 +56,24 @@
 void measureRows(CellLog &cell)
 {
     const auto addWorkers = [&] {
-        for (std::size_t n = 0; n < workerCount; ++n) {
+        for (std::size_t n = 0; n < twoyears::workers; ++n) {
             cell.addWorker(n);
         }
     };
-    print("register a worker", measure(workerCount, addWorkers));
+    print("register a worker", measure(twoyears::workers, addWorkers));
     const auto addTeams = [&] {
-        for (std::size_t n = 0; n < teamCount; ++n) {
+        for (std::size_t n = 0; n < twoyears::teams; ++n) {
             cell.addTeam(n);
         }
     };
-    print("set a team and grant its key", measure(teamCount, addTeams));
+    print("set a team and grant its key", measure(twoyears::teams, addTeams));
     cell.run({PublishProfile{{}, "batch", {}, 0, ""}});
     const auto submit = [&] {
-        for (std::size_t n = 0; n < runningTasks; ++n) {
+        for (std::size_t n = 0; n < twoyears::runningTasks; ++n) {
             cell.run({cell.submission(n)});
         }
     };
-    print("accept and place a job of one task", measure(runningTasks, submit));
+    print("accept and place a job of one task", measure(twoyears::runningTasks, submit));
 }
 
 /** Accepts, ends and expires jobs, so that only their request ids stay. */
@@ -180,7 +81,7 @@
 {
     constexpr std::size_t expireEvery = 1'000;
     for (std::size_t n = 1; n <= count; ++n) {
-        cell.run({cell.submission(runningTasks + n)});
+        cell.run({cell.submission(twoyears::runningTasks + n)});
         cell.run({EndAttempts{{{cell.tables.position.nextAttempt - 1, Outcome::Succeeded, {}}}}});
         if (n % expireEvery == 0 || n == count) {
             const auto now = cell.tables.position.time;
@@ -214,17 +115,18 @@
 void measureRecords(CellLog &cell)
 {
     cell.run({cell.submission(900'000)});
-    const auto one = cell.encodedBytes();
+    const auto one = encodeBatch(cell.lastBatch()).size();
     cell.run({cell.submission(900'001), cell.submission(900'002)});
     printBytes("batch of one accepted and placed job", one);
-    printBytes(fmt::format("each further job ({} B of payload)", payloadBytes), cell.encodedBytes() - one);
+    printBytes(fmt::format("each further job ({} B of payload)", payloadBytes),
+               encodeBatch(cell.lastBatch()).size() - one);
     cell.run({EndAttempts{{{1, Outcome::Succeeded, {}}}}});
-    const auto end = cell.encodedBytes();
+    const auto end = encodeBatch(cell.lastBatch()).size();
     cell.run({EndAttempts{{{1, Outcome::Succeeded, {}}, {2, Outcome::Succeeded, {}}}}});
     printBytes("batch of one ended attempt", end);
-    printBytes("each further end", cell.encodedBytes() - end);
+    printBytes("each further end", encodeBatch(cell.lastBatch()).size() - end);
     cell.run({PublishProfile{{}, "batch", {}, 1, std::string(payloadBytes, 'p')}});
-    printBytes("batch of one published profile", cell.encodedBytes());
+    printBytes("batch of one published profile", encodeBatch(cell.lastBatch()).size());
     printBytes("heartbeat, before its authentication", encodeHeartbeat({}).size());
 }
 
@@ -257,7 +159,8 @@
     fmt::print("{:<44} {:>13} {:>12}\n", "each", "time", "heap");
     cell.join();
     measureRows(cell);
-    fmt::print("at {} workers, {} running tasks, {} teams:\n", workerCount, runningTasks, teamCount);
+    fmt::print(
+        "at {} workers, {} running tasks, {} teams:\n", twoyears::workers, twoyears::runningTasks, twoyears::teams);
     measureTables(cell);
     measureRecords(cell);
     measureEnded(cell);
--- /dev/null
+++ b/bench/cell_log.h
@@ -0,0 +1,133 @@
+/** @file cell_log.h Tables at the two-year size, filled through the log as a daemon fills them. For benchmarks. */
+#pragma once
+
+#include "command_func.h"
+#include "core/digest.h"
+
+#include <fmt/format.h>
+
+#include <random>
+
+namespace flamingotally
+{
+
+/** The size that the design must carry. */
+namespace twoyears
+{
+constexpr std::size_t workers = 690;
+constexpr std::size_t daemons = 9;
+constexpr std::size_t runningTasks = 6'500;
+constexpr std::size_t teams = 62;
+constexpr std::size_t domains = 4;
+} // namespace twoyears
+
+constexpr std::size_t payloadBytes = 200;
+constexpr LogTime benchStart{Milliseconds{1'796'000'000'000}};
+constexpr Resources workerSize{64'000, 262'144, 8};
+constexpr Resources taskSize{1'000, 1'024, 0};
+
+/** Tables that are filled through the log, as a daemon fills them. */
+class CellLog
+{
+public:
+    std::vector<CommandResult> run(std::vector<Command> commands)
+    {
+        LogEntry entry;
+        entry.offset = tables.position.nextOffset;
+        entry.appendedAt = benchStart + Milliseconds{static_cast<std::int64_t>(entry.offset)};
+        entry.batch.daemon = "daemon-0";
+        entry.batch.incarnation = 1;
+        entry.batch.sequence = ++m_sequence;
+        entry.batch.commands = std::move(commands);
+        m_last = std::move(entry.batch);
+        entry.batch = m_last;
+        return applyEntry(tables, entry).commands;
+    }
+
+    /** The last batch. */
+    const Batch &lastBatch() const
+    {
+        return m_last;
+    }
+
+    void join()
+    {
+        for (std::size_t n = 0; n < twoyears::daemons; ++n) {
+            const auto name = fmt::format("daemon-{}", n);
+            run({JoinDaemon{name, "127.0.0.1:1", "127.0.0.1:2", fmt::format("d{}", n % twoyears::domains), 1, 1}});
+        }
+    }
+
+    void addWorker(std::size_t n)
+    {
+        run({RegisterWorker{fmt::format("worker-{}", n),
+                            "127.0.0.1:9000",
+                            fmt::format("d{}", n % twoyears::domains),
+                            fmt::format("rack-{}", n / 16),
+                            workerSize,
+                            1}});
+    }
+
+    void addTeam(std::size_t n)
+    {
+        const auto name = fmt::format("team-{}", n);
+        TeamPolicy policy;
+        policy.limit = workerSize * static_cast<std::int64_t>(twoyears::workers);
+        policy.queueLimit = 1'000'000;
+        KeyDigest digest{};
+        digest[0] = static_cast<std::uint8_t>(n);
+        digest[1] = 1;
+        run({SetTeam{{}, name, policy, 0}});
+        run({GrantKey{{}, name, digest, name, KeyRole::Submitter}});
+    }
+
+    SubmitJob submission(std::size_t n)
+    {
+        SubmitJob command;
+        command.request = makeRequestId(WallTime{benchStart.time_since_epoch()}, n, n);
+        command.name = "render";
+        command.key = findRef(tables.lookups.keys, fmt::format("team-{}", n % twoyears::teams));
+        command.profile = findRef(tables.lookups.profiles, std::string("batch"));
+        command.perTask = taskSize;
+        command.payload = payload();
+        command.bodyDigest = digestOfBytes(command.payload);
+        command.placements = {{0, tables.workers.at(n % twoyears::workers)}};
+        return command;
+    }
+
+    /** All of the two-year size: daemons, workers, teams, a profile and running tasks. */
+    void fill()
+    {
+        join();
+        for (std::size_t n = 0; n < twoyears::workers; ++n) {
+            addWorker(n);
+        }
+        for (std::size_t n = 0; n < twoyears::teams; ++n) {
+            addTeam(n);
+        }
+        run({PublishProfile{{}, "batch", {}, 0, ""}});
+        for (std::size_t n = 0; n < twoyears::runningTasks; ++n) {
+            run({submission(n)});
+        }
+    }
+
+    Tables tables;
+
+private:
+    /** Random hexadecimal digits: half as long when compressed, as JSON with few repeats is. */
+    std::string payload()
+    {
+        std::string text;
+        while (text.size() < payloadBytes) {
+            text += fmt::format("{:016x}", m_random());
+        }
+        text.resize(payloadBytes);
+        return text;
+    }
+
+    std::mt19937_64 m_random;
+    std::uint64_t m_sequence = 0;
+    Batch m_last;
+};
+
+} // namespace flamingotally
--- /dev/null
+++ b/bench/tick_cost.cpp
@@ -0,0 +1,122 @@
+/**
+ * @file tick_cost.cpp Measures what one tick costs a daemon at the two-year size: with nothing to do, and with one
+ * record to apply. docs/CAPACITY.md works out the processor time of a daemon from it.
+ */
+#include "cell_log.h"
+#include "node_func.h"
+#include "systems/systems.h"
+
+#include <chrono>
+#include <functional>
+
+namespace flamingotally
+{
+
+namespace
+{
+
+constexpr int tickCount = 2'000;
+constexpr Milliseconds tickInterval{10};
+
+/** A daemon that serves, with all its peers live. */
+class ServingNode
+{
+public:
+    ServingNode()
+    {
+        m_cell.fill();
+        node.settings.name = "daemon-0";
+        node.settings.domain = "d0";
+        node.incarnation = 1;
+        node.phase = NodePhase::Serving;
+        node.tables = m_cell.tables;
+        node.view.caughtUp = true;
+    }
+
+    /** One tick, after a read of the log that brought the given commands. */
+    void run(std::vector<Command> commands)
+    {
+        m_time.now += tickInterval;
+        hearPeers();
+        LogRead read;
+        read.askedAt = m_time.now;
+        if (!commands.empty()) {
+            m_cell.run(std::move(commands));
+            LogEntry entry;
+            entry.offset = node.tables.position.nextOffset;
+            entry.appendedAt = m_cell.tables.position.time;
+            entry.batch = m_cell.lastBatch();
+            read.entries.push_back(std::move(entry));
+        }
+        read.head = m_cell.tables.position.nextOffset;
+        node.inbox.logReads.push_back(std::move(read));
+        const auto begin = std::chrono::steady_clock::now();
+        tick(node, m_time);
+        took += std::chrono::steady_clock::now() - begin;
+        node.outbox = {};
+    }
+
+    SubmitJob submission(std::size_t n)
+    {
+        return m_cell.submission(n);
+    }
+
+    AttemptNumber newestAttempt() const
+    {
+        return m_cell.tables.position.nextAttempt - 1;
+    }
+
+    Node node;
+    std::chrono::steady_clock::duration took{}; ///< Spent in ticks.
+
+private:
+    void hearPeers()
+    {
+        for (std::size_t n = 1; n < twoyears::daemons; ++n) {
+            ReceivedHeartbeat heard;
+            heard.heartbeat.daemon = fmt::format("daemon-{}", n);
+            heard.heartbeat.incarnation = 1;
+            heard.receivedAt = m_time.now;
+            node.inbox.heartbeats.push_back(std::move(heard));
+        }
+    }
+
+    CellLog m_cell;
+    TickTime m_time{MonotonicTime{Milliseconds{1'000'000}}, WallTime{benchStart.time_since_epoch()}};
+};
+
+void print(std::string_view what, std::chrono::steady_clock::duration took)
+{
+    const std::chrono::duration<double, std::micro> each = took / tickCount;
+    fmt::print("{:<44} {:>10.1f} us\n", what, each.count());
+}
+
+/** Runs ticks and prints what one cost on average. */
+void measure(ServingNode &daemon, std::string_view what, const std::function<std::vector<Command>(int)> &commandsOf)
+{
+    daemon.took = {};
+    for (int n = 0; n < tickCount; ++n) {
+        daemon.run(commandsOf(n));
+    }
+    print(what, daemon.took);
+}
+
+} // namespace
+
+} // namespace flamingotally
+
+int main()
+{
+    using namespace flamingotally;
+    ServingNode daemon;
+    fmt::print("each tick, at {} workers and {} running tasks:\n", twoyears::workers, twoyears::runningTasks);
+    measure(daemon, "nothing to apply", [](int) { return std::vector<Command>{}; });
+    measure(daemon, "one job accepted and placed", [&](int n) {
+        return std::vector<Command>{daemon.submission(twoyears::runningTasks + static_cast<std::size_t>(n))};
+    });
+    measure(daemon, "one attempt ended", [&](int n) {
+        const auto attempt = daemon.newestAttempt() - static_cast<AttemptNumber>(n);
+        return std::vector<Command>{EndAttempts{{{attempt, Outcome::Succeeded, {}}}}};
+    });
+    return EXIT_SUCCESS;
+}
