Add the stand-in for the platform: log, host list and workers

One program on loopback in the project's shape: requests are typed, systems run over tables each tick, and the front only encodes. Faults are switched over HTTP while it runs.

--- /dev/null
+++ b/src/codec/worker_codec.cpp
@@ -0,0 +1,304 @@
+#include "codec/worker_codec.h"
+
+#include "core/error.h"
+#include "table/job_table.h"
+#include "table/message_table.h"
+
+#include <boost/json.hpp>
+
+namespace flamingotally
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+std::string_view textOf(const json::value &value)
+{
+    const auto &text = value.as_string();
+    return {text.data(), text.size()};
+}
+
+template<typename Time>
+Time timeOf(const json::value &value)
+{
+    return Time{Milliseconds{value.as_int64()}};
+}
+
+template<typename Time>
+std::int64_t numberOf(Time time)
+{
+    return time.time_since_epoch().count();
+}
+
+template<typename Rows>
+auto enumOf(const Rows &rows, const json::value &value)
+{
+    const auto found = valueNamed(rows, textOf(value));
+    if (!found) {
+        throw std::invalid_argument("unknown name");
+    }
+    return *found;
+}
+
+template<typename Number>
+Number numberAt(const json::object &object, std::string_view name)
+{
+    return object.at(name).to_number<Number>();
+}
+
+/** Items of an array; none when the member is missing. */
+const json::array &itemsOf(const json::object &object, std::string_view name)
+{
+    static const json::array none;
+    const auto *value = object.if_contains(name);
+    return value ? value->as_array() : none;
+}
+
+/** Whether an optional flag is set. */
+bool flagOf(const json::object &object, std::string_view name)
+{
+    const auto *value = object.if_contains(name);
+    return value && value->as_bool();
+}
+
+json::value toJson(const Resources &amount)
+{
+    return json::array{amount.cpuMilli, amount.memoryMb, amount.accelerators};
+}
+
+Resources resourcesOf(const json::value &value)
+{
+    const auto &items = value.as_array();
+    return {items.at(0).as_int64(), items.at(1).as_int64(), items.at(2).as_int64()};
+}
+
+json::value toJson(const StartOrder &order)
+{
+    return json::object{{"attempt", order.attempt},
+                        {"request", toString(order.request)},
+                        {"ordinal", order.ordinal},
+                        {"held", toJson(order.held)},
+                        {"payload", order.payload},
+                        {"notAfter", numberOf(order.notAfter)},
+                        {"leaseUntil", numberOf(order.leaseUntil)}};
+}
+
+StartOrder startOf(const json::value &value)
+{
+    const auto &object = value.as_object();
+    StartOrder order;
+    order.attempt = numberAt<AttemptNumber>(object, "attempt");
+    const auto request = parseRequestId(textOf(object.at("request")));
+    if (!request) {
+        throw std::invalid_argument("request is not an id");
+    }
+    order.request = *request;
+    order.ordinal = numberAt<std::uint32_t>(object, "ordinal");
+    order.held = resourcesOf(object.at("held"));
+    order.payload = textOf(object.at("payload"));
+    order.notAfter = timeOf<WorkerTime>(object.at("notAfter"));
+    order.leaseUntil = timeOf<WorkerTime>(object.at("leaseUntil"));
+    return order;
+}
+
+json::value toJson(const StopOrder &order)
+{
+    return json::object{{"attempt", order.attempt},
+                        {"cause", rowOf(stopCauseTable, order.cause).name},
+                        {"checkpoint", order.checkpoint},
+                        {"onlyBeforeStart", order.onlyBeforeStart}};
+}
+
+StopOrder stopOf(const json::value &value)
+{
+    const auto &object = value.as_object();
+    StopOrder order;
+    order.attempt = numberAt<AttemptNumber>(object, "attempt");
+    order.cause = enumOf(stopCauseTable, object.at("cause"));
+    order.checkpoint = flagOf(object, "checkpoint");
+    order.onlyBeforeStart = flagOf(object, "onlyBeforeStart");
+    return order;
+}
+
+json::value toJson(const ReportedEnd &end)
+{
+    const auto &[attempt, outcome, result] = end.end;
+    json::object object{{"report", end.report}, {"attempt", attempt}, {"outcome", rowOf(outcomeTable, outcome).name}};
+    if (result.length > 0) {
+        object["body"] = result.body;
+        object["length"] = result.length;
+        object["digest"] = result.digest;
+        object["heldBy"] = result.heldBy;
+    }
+    return object;
+}
+
+ReportedEnd endOf(const json::value &value)
+{
+    const auto &object = value.as_object();
+    ReportedEnd end;
+    end.report = numberAt<std::uint64_t>(object, "report");
+    end.end.attempt = numberAt<AttemptNumber>(object, "attempt");
+    end.end.outcome = enumOf(outcomeTable, object.at("outcome"));
+    if (object.contains("length")) {
+        auto &result = end.end.result;
+        result.body = textOf(object.at("body"));
+        result.length = numberAt<std::uint64_t>(object, "length");
+        result.digest = numberAt<std::uint64_t>(object, "digest");
+        result.heldBy = textOf(object.at("heldBy"));
+    }
+    return end;
+}
+
+json::value toJson(const HostRow &row)
+{
+    return json::object{{"name", row.name},
+                        {"address", row.address},
+                        {"domain", row.domain},
+                        {"rack", row.rack},
+                        {"role", rowOf(hostRoleTable, row.role).name},
+                        {"leaving", row.leaving}};
+}
+
+HostRow hostOf(const json::value &value)
+{
+    const auto &object = value.as_object();
+    HostRow row;
+    row.name = textOf(object.at("name"));
+    row.address = textOf(object.at("address"));
+    row.domain = textOf(object.at("domain"));
+    row.rack = textOf(object.at("rack"));
+    row.role = enumOf(hostRoleTable, object.at("role"));
+    row.leaving = flagOf(object, "leaving");
+    return row;
+}
+
+template<typename Items>
+json::array toJsonArray(const Items &items)
+{
+    json::array array;
+    array.reserve(items.size());
+    for (const auto &it : items) {
+        array.push_back(toJson(it));
+    }
+    return array;
+}
+
+/** Sets a member, unless there is nothing to say. */
+void setItems(json::object &object, std::string_view name, json::array items)
+{
+    if (!items.empty()) {
+        object[name] = std::move(items);
+    }
+}
+
+/**
+ * Parses a body and reads it. Boost.JSON throws on missing members and wrong types; that ends here.
+ * @param read Makes the message of an object.
+ */
+template<typename Read>
+auto decodeObject(std::string_view body, Step step, Read read) -> absl::StatusOr<decltype(read(json::object{}))>
+{
+    try {
+        json::parse_options options;
+        options.allow_invalid_utf8 = true;
+        const auto value = json::parse({body.data(), body.size()}, {}, options);
+        return read(value.as_object());
+    } catch (const std::exception &exception) {
+        return makeError(absl::StatusCode::kInvalidArgument, step, "", exception.what());
+    }
+}
+
+} // namespace
+
+std::string encodeWorkerSync(const WorkerSync &sync)
+{
+    json::object object{{"bootId", sync.bootId}, {"acked", sync.ackedReport}, {"waitMs", sync.wait.count()}};
+    setItems(object, "starts", toJsonArray(sync.starts));
+    setItems(object, "stops", toJsonArray(sync.stops));
+    json::array renewals;
+    for (const auto &it : sync.renewals) {
+        renewals.push_back(json::array{it.attempt, numberOf(it.leaseUntil)});
+    }
+    setItems(object, "renewals", std::move(renewals));
+    return json::serialize(object);
+}
+
+absl::StatusOr<WorkerSync> decodeWorkerSync(std::string_view body)
+{
+    return decodeObject(body, Step::Sync, [](const json::object &object) {
+        WorkerSync sync;
+        sync.bootId = numberAt<std::uint64_t>(object, "bootId");
+        sync.ackedReport = numberAt<std::uint64_t>(object, "acked");
+        sync.wait = Milliseconds{numberAt<std::int64_t>(object, "waitMs")};
+        for (const auto &it : itemsOf(object, "starts")) {
+            sync.starts.push_back(startOf(it));
+        }
+        for (const auto &it : itemsOf(object, "stops")) {
+            sync.stops.push_back(stopOf(it));
+        }
+        for (const auto &it : itemsOf(object, "renewals")) {
+            const auto &pair = it.as_array();
+            sync.renewals.push_back({pair.at(0).to_number<AttemptNumber>(), timeOf<WorkerTime>(pair.at(1))});
+        }
+        return sync;
+    });
+}
+
+std::string encodeWorkerReport(const WorkerReport &report)
+{
+    json::object object{{"worker", report.worker},
+                        {"bootId", report.bootId},
+                        {"total", toJson(report.total)},
+                        {"clock", numberOf(report.clock)}};
+    setItems(object, "ends", toJsonArray(report.ends));
+    setItems(object, "active", json::array(report.active.begin(), report.active.end()));
+    json::array usage;
+    for (const auto &it : report.usage) {
+        usage.push_back(json::array{it.attempt, toJson(it.used)});
+    }
+    setItems(object, "usage", std::move(usage));
+    return json::serialize(object);
+}
+
+absl::StatusOr<WorkerReport> decodeWorkerReport(std::string_view body)
+{
+    return decodeObject(body, Step::Sync, [](const json::object &object) {
+        WorkerReport report;
+        report.worker = textOf(object.at("worker"));
+        report.bootId = numberAt<std::uint64_t>(object, "bootId");
+        report.total = resourcesOf(object.at("total"));
+        report.clock = timeOf<WorkerTime>(object.at("clock"));
+        for (const auto &it : itemsOf(object, "ends")) {
+            report.ends.push_back(endOf(it));
+        }
+        for (const auto &it : itemsOf(object, "active")) {
+            report.active.push_back(it.to_number<AttemptNumber>());
+        }
+        for (const auto &it : itemsOf(object, "usage")) {
+            const auto &pair = it.as_array();
+            report.usage.push_back({pair.at(0).to_number<AttemptNumber>(), resourcesOf(pair.at(1))});
+        }
+        return report;
+    });
+}
+
+std::string encodeHostList(const std::vector<HostRow> &hosts)
+{
+    return json::serialize(json::object{{"hosts", toJsonArray(hosts)}});
+}
+
+absl::StatusOr<std::vector<HostRow>> decodeHostList(std::string_view body)
+{
+    return decodeObject(body, Step::ListHosts, [](const json::object &object) {
+        std::vector<HostRow> hosts;
+        for (const auto &it : itemsOf(object, "hosts")) {
+            hosts.push_back(hostOf(it));
+        }
+        return hosts;
+    });
+}
+
+} // namespace flamingotally
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -325,7 +325,7 @@
     } else {
         response = makeErrorResponse({.detail = "The target of the request is malformed."});
     }
-    if (!response) {
+    if (!response || response->status == hangUpStatus) {
         co_return false;
     }
     keepAlive = keepAlive && !state->draining;
--- a/src/net/http_type.h
+++ b/src/net/http_type.h
@@ -45,6 +45,9 @@
     std::string body{};
 };
 
+/** Status of a response that is not sent: the connection is closed in its place. For stand-ins that play faults. */
+constexpr unsigned hangUpStatus = 0;
+
 /** An answer, sent or received. The server adds the length and the fields on the connection itself. */
 struct HttpResponse {
     unsigned status = 200;
--- /dev/null
+++ b/src/net/tick_loop.cpp
@@ -0,0 +1,78 @@
+#include "net/tick_loop.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <utility>
+
+namespace flamingotally
+{
+
+namespace asio = boost::asio;
+
+struct TickLoop::State {
+    State(asio::io_context &context, TickFunction function) : io(context), tick(std::move(function)), timer(context)
+    {
+    }
+
+    asio::io_context &io;
+    TickFunction tick;
+    asio::steady_timer timer;
+    bool isWoken = false; ///< A tick is posted.
+    bool isStopped = false;
+};
+
+namespace
+{
+
+using StatePtr = std::shared_ptr<TickLoop::State>;
+
+void wakeLoop(const StatePtr &state);
+
+/** Runs a tick and sets the timer of the next. */
+void runTick(const StatePtr &state)
+{
+    state->isWoken = false;
+    if (state->isStopped) {
+        return;
+    }
+    const auto next = state->tick();
+    state->timer.expires_at(asio::steady_timer::time_point(next.time_since_epoch()));
+    state->timer.async_wait([state](const boost::system::error_code &ec) {
+        if (!ec) {
+            wakeLoop(state);
+        }
+    });
+}
+
+void wakeLoop(const StatePtr &state)
+{
+    if (!std::exchange(state->isWoken, true)) {
+        asio::post(state->io, [state] { runTick(state); });
+    }
+}
+
+} // namespace
+
+TickLoop::TickLoop(asio::io_context &io, TickFunction tick) : m_state(std::make_shared<State>(io, std::move(tick)))
+{
+}
+
+TickLoop::~TickLoop()
+{
+    stop();
+}
+
+void TickLoop::wake()
+{
+    wakeLoop(m_state);
+}
+
+void TickLoop::stop()
+{
+    m_state->isStopped = true;
+    m_state->timer.cancel();
+}
+
+} // namespace flamingotally
--- /dev/null
+++ b/standin/host_system.cpp
@@ -0,0 +1,72 @@
+#include "standin_systems.h"
+
+namespace flamingotally::standin
+{
+
+namespace
+{
+
+/** Takes down the list as it is now, whenever it has changed. */
+void takeSnapshot(Standin &standin, const StandinTime &time)
+{
+    HostSnapshot snapshot{time.now, {}};
+    standin.hosts.forEach([&](HostRef ref) {
+        const auto life = standin.hosts.get<HostFaults>(ref).life;
+        if (life != HostLife::Gone) {
+            snapshot.hosts.push_back(standin.hosts.get<HostRow>(ref));
+            snapshot.hosts.back().leaving = life == HostLife::Leaving;
+        }
+    });
+    standin.hostSnapshots.push_back(std::move(snapshot));
+    standin.hostsChanged = false;
+}
+
+/** Drops snapshots that a newer one, old enough to be seen, has replaced. */
+void dropSnapshots(Standin &standin, const StandinTime &time)
+{
+    auto &snapshots = standin.hostSnapshots;
+    while (snapshots.size() > 1 && snapshots[1].takenAt + standin.settings.hostListLag <= time.now) {
+        snapshots.pop_front();
+    }
+}
+
+} // namespace
+
+HostRef addHost(Standin &standin, const HostRow &row)
+{
+    standin.hostsChanged = true;
+    return standin.hosts.insert(row, {}, {});
+}
+
+HostRef addWorker(Standin &standin, const HostRow &row, const Resources &total, const StandinTime &time)
+{
+    constexpr std::uint64_t bootsPerMillisecond = 1'000;
+    constexpr Milliseconds offsetPerWorker{7'919};
+    const auto ref = addHost(standin, row);
+    auto &boot = standin.hosts.get<WorkerBoot>(ref);
+    boot.bootId = static_cast<std::uint64_t>(time.wall.time_since_epoch().count()) * bootsPerMillisecond + ref.index;
+    boot.total = total;
+    boot.clockOffset = offsetPerWorker * (ref.index + 1);
+    standin.workers.push_back(ref);
+    return ref;
+}
+
+void hostSystem(Standin &standin, const StandinTime &time)
+{
+    if (standin.hostsChanged) {
+        takeSnapshot(standin, time);
+    }
+    dropSnapshots(standin, time);
+    for (const auto &it : standin.inbox) {
+        if (!std::holds_alternative<HostsRequest>(it.body)) {
+            continue;
+        }
+        if (standin.faults.hostListDown) {
+            standin.outbox.push_back({it.handle, Refusal{503, "The host list is down."}});
+            continue;
+        }
+        standin.outbox.push_back({it.handle, standin.hostSnapshots.front().hosts});
+    }
+}
+
+} // namespace flamingotally::standin
--- /dev/null
+++ b/standin/options.cpp
@@ -0,0 +1,168 @@
+#include "options.h"
+
+#include "core/error.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+
+#include <sstream>
+
+namespace flamingotally::standin
+{
+
+namespace po = boost::program_options;
+
+namespace
+{
+
+using Texts = std::vector<std::string>;
+
+absl::Status badOption(std::string_view text)
+{
+    return makeError(absl::StatusCode::kInvalidArgument, Step::ReadSettings, "", text);
+}
+
+/** How the workers are laid out. */
+struct Layout {
+    Texts groups;
+    Texts domains;
+    std::uint16_t firstPort = 0;
+    std::size_t rackSize = 1;
+};
+
+/** Adds the workers of a group "count:cpuMilli:memoryMb:accelerators", domain by domain in turn. */
+absl::Status addGroup(Options &options, const Layout &layout, const std::string &group)
+{
+    const Texts parts = absl::StrSplit(group, ':');
+    std::int64_t count = 0;
+    Resources total;
+    const bool isWhole = parts.size() == 4 && absl::SimpleAtoi(parts[0], &count)
+        && absl::SimpleAtoi(parts[1], &total.cpuMilli) && absl::SimpleAtoi(parts[2], &total.memoryMb)
+        && absl::SimpleAtoi(parts[3], &total.accelerators) && total.isNonNegative();
+    if (!isWhole) {
+        return badOption(fmt::format("--workers {}: expected count:cpuMilli:memoryMb:accelerators", group));
+    }
+    for (std::int64_t n = 0; n < count; ++n) {
+        const auto place = options.workers.size();
+        const auto &domain = layout.domains[place % layout.domains.size()];
+        const auto rack = place / layout.domains.size() / layout.rackSize;
+        HostRow row;
+        row.name = fmt::format("worker-{}", place + 1);
+        row.address = fmt::format("127.0.0.1:{}", layout.firstPort + place);
+        row.domain = domain;
+        row.rack = fmt::format("{}-rack-{}", domain, rack + 1);
+        options.workers.push_back({row, total});
+    }
+    return absl::OkStatus();
+}
+
+absl::Status addEntryHost(Options &options, const std::string &text)
+{
+    const Texts parts = absl::StrSplit(text, ',');
+    if (parts.size() != 3) {
+        return badOption(fmt::format("--entry-host {}: expected name,IP:port,domain", text));
+    }
+    HostRow row;
+    row.name = parts[0];
+    row.address = parts[1];
+    row.domain = parts[2];
+    row.role = HostRole::Entry;
+    options.entryHosts.push_back(row);
+    return absl::OkStatus();
+}
+
+template<typename T>
+auto valueOf(T *target)
+{
+    return po::value<T>(target)->default_value(*target);
+}
+
+/** Values that need more than being copied. */
+struct RawOptions {
+    Layout layout;
+    std::string domains = "north,south,west";
+    Texts entryHosts;
+    std::int64_t retentionMs = Milliseconds{StandinSettings{}.retention}.count();
+    std::int64_t hostListLagMs = Milliseconds{StandinSettings{}.hostListLag}.count();
+    std::int64_t usageLagMs = Milliseconds{StandinSettings{}.usageLag}.count();
+    std::int64_t appendLatencyMs = Milliseconds{PlatformFaults{}.appendLatency}.count();
+};
+
+po::options_description describe(Options &options, RawOptions &raw)
+{
+    raw.layout.firstPort = 7'200;
+    raw.layout.rackSize = 8;
+    options.address = "127.0.0.1:7070";
+    po::options_description all("flamingotally-standin: a small platform on loopback: log, host list, workers");
+    auto add = all.add_options();
+    add("help,h", "print this text");
+    add("listen", valueOf(&options.address), "IP:port of the log, the host list, the journal and the switches");
+    add("workers",
+        po::value<Texts>(&raw.layout.groups)->composing(),
+        "a group of workers as count:cpuMilli:memoryMb:accelerators; may be repeated");
+    add("first-worker-port", valueOf(&raw.layout.firstPort), "port of the first worker; the others follow");
+    add("domains", valueOf(&raw.domains), "failure domains, in which workers are placed in turn");
+    add("rack-size", valueOf(&raw.layout.rackSize), "workers in a rack");
+    add("entry-host",
+        po::value<Texts>(&raw.entryHosts)->composing(),
+        "an entry host on the host list as name,IP:port,domain; may be repeated");
+    add("append-latency-ms", valueOf(&raw.appendLatencyMs), "time from an append to its being stored");
+    add("appends-per-second", valueOf(&options.settings.appendsPerSecond), "rate limit of the log");
+    add("retention-ms", valueOf(&raw.retentionMs), "age at which a record is dropped");
+    add("max-records", valueOf(&options.settings.maxRecords), "records kept at most");
+    add("host-list-lag-ms", valueOf(&raw.hostListLagMs), "age of the host list that is handed out");
+    add("usage-lag-ms", valueOf(&raw.usageLagMs), "age of a run at its first report of usage");
+    return all;
+}
+
+/** Takes over what was parsed. */
+absl::Status finish(Options &options, RawOptions &raw)
+{
+    options.settings.retention = Milliseconds{raw.retentionMs};
+    options.settings.hostListLag = Milliseconds{raw.hostListLagMs};
+    options.settings.usageLag = Milliseconds{raw.usageLagMs};
+    options.faults.appendLatency = Milliseconds{raw.appendLatencyMs};
+    raw.layout.domains = absl::StrSplit(raw.domains, ',', absl::SkipEmpty());
+    if (raw.layout.domains.empty() || raw.layout.rackSize == 0 || options.settings.appendsPerSecond == 0) {
+        return badOption("--domains, --rack-size and --appends-per-second must not be empty or zero");
+    }
+    for (const auto &it : raw.layout.groups) {
+        if (auto status = addGroup(options, raw.layout, it); !status.ok()) {
+            return status;
+        }
+    }
+    for (const auto &it : raw.entryHosts) {
+        if (auto status = addEntryHost(options, it); !status.ok()) {
+            return status;
+        }
+    }
+    return absl::OkStatus();
+}
+
+} // namespace
+
+absl::StatusOr<Options> parseOptions(int argc, const char *const *argv)
+{
+    Options options;
+    RawOptions raw;
+    const auto description = describe(options, raw);
+    po::variables_map values;
+    try {
+        po::store(po::parse_command_line(argc, argv, description), values);
+        po::notify(values);
+    } catch (const po::error &error) {
+        return badOption(error.what());
+    }
+    std::ostringstream help;
+    help << description;
+    options.help = help.str();
+    options.showHelp = values.count("help") > 0;
+    if (auto status = finish(options, raw); !status.ok()) {
+        return status;
+    }
+    return options;
+}
+
+} // namespace flamingotally::standin
--- /dev/null
+++ b/standin/standin_codec.cpp
@@ -0,0 +1,216 @@
+#include "standin_codec.h"
+
+#include "codec/json_field.h"
+#include "codec/worker_codec.h"
+#include "field_table.h"
+#include "net/http_error.h"
+#include "table/job_table.h"
+
+#include <boost/json.hpp>
+
+#include <charconv>
+
+namespace flamingotally::standin
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr const char *binaryType = "application/octet-stream";
+constexpr std::size_t defaultReadBytes = 256 * 1024;
+
+json::value toJson(const Run &run)
+{
+    json::object object{{"worker", run.worker},
+                        {"attempt", run.order.attempt},
+                        {"request", toString(run.order.request)},
+                        {"ordinal", run.order.ordinal},
+                        {"startedAt", run.startedAt.time_since_epoch().count()},
+                        {"endedAt", run.endedAt.time_since_epoch().count()},
+                        {"outcome", rowOf(outcomeTable, run.outcome).name}};
+    return object;
+}
+
+HttpResponse jsonResponse(const json::object &object)
+{
+    HttpResponse response;
+    response.body = json::serialize(object);
+    return response;
+}
+
+HttpResponse journalResponse(const Standin &standin)
+{
+    json::array runs;
+    for (const auto &it : standin.journal) {
+        runs.push_back(toJson(it));
+    }
+    return jsonResponse({{"count", standin.journal.size()}, {"runs", std::move(runs)}});
+}
+
+HttpResponse faultsResponse(const Standin &standin)
+{
+    json::object object;
+    writeJsonFields(object, platformFieldTable, standin.faults);
+    json::array hosts;
+    standin.hosts.forEach([&](HostRef ref) {
+        json::object host{{"host", standin.hosts.get<HostRow>(ref).name}};
+        writeJsonFields(host, hostFieldTable, standin.hosts.get<HostFaults>(ref));
+        hosts.push_back(std::move(host));
+    });
+    object["hosts"] = std::move(hosts);
+    return jsonResponse(object);
+}
+
+/** Makes a response of each kind of answer. */
+struct ResponseMaker {
+    const Standin &standin;
+
+    HttpResponse operator()(const AppendStored &answer) const
+    {
+        return jsonResponse({{"offset", answer.offset}});
+    }
+
+    HttpResponse operator()(const Refusal &answer) const
+    {
+        HttpError error;
+        error.reason = Reason::LogUnavailable;
+        error.detail = answer.text;
+        error.status = answer.httpStatus;
+        return makeErrorResponse(error);
+    }
+
+    HttpResponse operator()(const HangUp & /*answer*/) const
+    {
+        HttpResponse response;
+        response.status = hangUpStatus;
+        return response;
+    }
+
+    HttpResponse operator()(const LogPage &answer) const
+    {
+        HttpResponse response;
+        response.contentType = binaryType;
+        response.body = encodeLogPage(answer);
+        return response;
+    }
+
+    HttpResponse operator()(const std::vector<HostRow> &answer) const
+    {
+        HttpResponse response;
+        response.body = encodeHostList(answer);
+        return response;
+    }
+
+    HttpResponse operator()(const WorkerReport &answer) const
+    {
+        HttpResponse response;
+        response.body = encodeWorkerReport(answer);
+        return response;
+    }
+
+    HttpResponse operator()(const ResultBytes &answer) const
+    {
+        HttpResponse response;
+        response.contentType = binaryType;
+        response.body = answer.bytes;
+        return response;
+    }
+
+    HttpResponse operator()(const JournalAnswer & /*answer*/) const
+    {
+        return journalResponse(standin);
+    }
+
+    HttpResponse operator()(const FaultsTaken & /*answer*/) const
+    {
+        return faultsResponse(standin);
+    }
+};
+
+/** Whole number of the query; the default when it is missing. */
+absl::StatusOr<std::uint64_t> numberOf(const HttpRequest &request, std::string_view name, std::uint64_t missing)
+{
+    const auto text = fieldValue(request.query, name);
+    if (text.empty()) {
+        return missing;
+    }
+    std::uint64_t number = 0;
+    const auto *end = text.data() + text.size();
+    if (const auto [place, error] = std::from_chars(text.data(), end, number); error != std::errc{} || place != end) {
+        return jsonError(fmt::format("'{}' is not a whole number", name));
+    }
+    return number;
+}
+
+/** Faults of a host as they are; none when there is no such host. */
+HostFaults faultsOf(const Standin &standin, std::string_view name)
+{
+    HostFaults faults;
+    standin.hosts.forEach([&](HostRef ref) {
+        if (standin.hosts.get<HostRow>(ref).name == name) {
+            faults = standin.hosts.get<HostFaults>(ref);
+        }
+    });
+    return faults;
+}
+
+/** Reads one field of a change of faults. */
+absl::Status readFault(FaultRequest &request, std::string_view key, const json::value &value)
+{
+    if (key == "host") {
+        return absl::OkStatus();
+    }
+    if (key == "reboot") {
+        request.reboot = value.is_bool() && value.get_bool();
+        return absl::OkStatus();
+    }
+    if (findField(hostFieldTable, key)) {
+        return readJsonField(hostFieldTable, request.hostFaults, key, value);
+    }
+    return readJsonField(platformFieldTable, request.platform, key, value);
+}
+
+} // namespace
+
+absl::StatusOr<FaultRequest> parseFaults(const Standin &standin, std::string_view body)
+{
+    const auto object = parseJsonObject(body);
+    if (!object.ok()) {
+        return object.status();
+    }
+    FaultRequest request;
+    request.platform = standin.faults;
+    if (const auto *host = object->if_contains("host"); host && host->is_string()) {
+        request.host = std::string(host->get_string());
+        request.hostFaults = faultsOf(standin, request.host);
+    }
+    for (const auto &it : *object) {
+        if (auto status = readFault(request, std::string_view(it.key()), it.value()); !status.ok()) {
+            return status;
+        }
+    }
+    return request;
+}
+
+absl::StatusOr<ReadRequest> parseRead(const HttpRequest &request)
+{
+    const auto from = numberOf(request, "from", 0);
+    const auto wait = numberOf(request, "waitMs", 0);
+    const auto maxBytes = numberOf(request, "maxBytes", defaultReadBytes);
+    for (const auto *it : {&from, &wait, &maxBytes}) {
+        if (!it->ok()) {
+            return it->status();
+        }
+    }
+    const auto bounded = std::min<std::uint64_t>(*wait, static_cast<std::uint64_t>(maxRunMs));
+    return ReadRequest{*from, Milliseconds{bounded}, static_cast<std::size_t>(*maxBytes)};
+}
+
+HttpResponse toResponse(const Standin &standin, const AnswerBody &answer)
+{
+    return std::visit(ResponseMaker{standin}, answer);
+}
+
+} // namespace flamingotally::standin
--- /dev/null
+++ b/standin/tick.cpp
@@ -0,0 +1,31 @@
+#include "standin_systems.h"
+
+#include <algorithm>
+
+namespace flamingotally::standin
+{
+
+namespace
+{
+
+constexpr Milliseconds longestSleep{1'000};
+
+} // namespace
+
+void wakeAt(Standin &standin, MonotonicTime at)
+{
+    standin.nextWake = std::min(standin.nextWake, at);
+}
+
+void tick(Standin &standin, const StandinTime &time)
+{
+    standin.nextWake = time.now + longestSleep;
+    faultSystem(standin, time);
+    logSystem(standin, time);
+    hostSystem(standin, time);
+    workerSystem(standin, time);
+    journalSystem(standin, time);
+    standin.inbox.clear();
+}
+
+} // namespace flamingotally::standin
--- /dev/null
+++ b/standin/worker_system.cpp
@@ -0,0 +1,113 @@
+#include "standin_systems.h"
+#include "worker_func.h"
+
+#include <algorithm>
+
+namespace flamingotally::standin
+{
+
+namespace
+{
+
+/** When an attempt ends by itself, and how. */
+struct NaturalEnd {
+    MonotonicTime at{};
+    Outcome outcome = Outcome::None;
+};
+
+constexpr Milliseconds failAfter{5}; ///< How long a host that fails everything runs a task.
+
+NaturalEnd naturalEndOf(const Standin &standin, const SimAttempt &attempt)
+{
+    const auto &faults = standin.hosts.get<HostFaults>(attempt.worker);
+    const auto offset = standin.hosts.get<WorkerBoot>(attempt.worker).clockOffset;
+    const NaturalEnd lapse{MonotonicTime{attempt.leaseUntil.time_since_epoch() - offset}, Outcome::Lost};
+    if (faults.paused) {
+        return lapse;
+    }
+    NaturalEnd end{attempt.endsAt, attempt.task.fail ? Outcome::Failed : Outcome::Succeeded};
+    if (faults.failsAll) {
+        end = {std::min(attempt.startedAt + failAfter, attempt.endsAt), Outcome::Failed};
+    } else if (attempt.task.service) {
+        return lapse;
+    }
+    return lapse.at <= end.at ? lapse : end;
+}
+
+/** Ends attempts that have run long enough or whose lease has run out. */
+void endDue(Standin &standin, const StandinTime &time)
+{
+    standin.attempts.forEach([&](SimAttemptRef ref) {
+        const auto [at, outcome] = naturalEndOf(standin, standin.attempts.get<SimAttempt>(ref));
+        if (at <= time.now) {
+            endAttempt(standin, ref, outcome, time);
+        } else {
+            wakeAt(standin, at);
+        }
+    });
+}
+
+void takeSyncs(Standin &standin, const StandinTime &time)
+{
+    for (auto &it : standin.inbox) {
+        if (auto *request = std::get_if<SyncRequest>(&it.body)) {
+            WorkerPoll poll;
+            poll.handle = it.handle;
+            poll.worker = standin.workers.at(request->worker);
+            poll.until = time.now + request->sync.wait;
+            poll.sync = std::move(request->sync);
+            standin.polls.insert(std::move(poll));
+        }
+    }
+}
+
+/** Carries out the orders of an exchange, unless they are meant for another boot. */
+void takePoll(Standin &standin, WorkerPoll &poll, const StandinTime &time)
+{
+    const auto &boot = standin.hosts.get<WorkerBoot>(poll.worker);
+    poll.bootId = boot.bootId;
+    poll.reportBefore = boot.lastReport;
+    const auto &sync = poll.sync;
+    poll.answerNow = sync.bootId != boot.bootId || !sync.starts.empty() || !sync.stops.empty();
+    if (sync.bootId == boot.bootId) {
+        takeOrders(standin, poll.worker, sync, time);
+    }
+}
+
+/** Answers an exchange that has something to say or has waited long enough. */
+void serve(Standin &standin, Ref<PollTag> ref, const StandinTime &time)
+{
+    auto &poll = standin.polls.get<WorkerPoll>(ref);
+    const auto &faults = standin.hosts.get<HostFaults>(poll.worker);
+    if (faults.life == HostLife::Gone) {
+        standin.outbox.push_back({poll.handle, HangUp{}});
+        standin.polls.erase(ref);
+        return;
+    }
+    if (faults.paused) {
+        return;
+    }
+    if (poll.bootId == 0) {
+        takePoll(standin, poll, time);
+    }
+    const auto &boot = standin.hosts.get<WorkerBoot>(poll.worker);
+    const bool hasNews = boot.lastReport > poll.reportBefore || boot.bootId != poll.bootId;
+    if (!poll.answerNow && !hasNews && poll.until > time.now) {
+        wakeAt(standin, poll.until);
+        return;
+    }
+    standin.outbox.push_back({poll.handle, makeReport(standin, poll.worker, time)});
+    standin.polls.erase(ref);
+}
+
+} // namespace
+
+void workerSystem(Standin &standin, const StandinTime &time)
+{
+    endDue(standin, time);
+    takeSyncs(standin, time);
+    standin.polls.forEach([&](Ref<PollTag> ref) { serve(standin, ref, time); });
+    endDue(standin, time);
+}
+
+} // namespace flamingotally::standin
