--- a/src/message_type.h
+++ b/src/message_type.h
@@ -66,6 +66,7 @@
     std::vector<Renewal> renewals;
     std::vector<StopOrder> stops;
     std::uint64_t ackedReport = 0; ///< Ends up to this number are in the log and may be forgotten.
+    std::uint64_t seenReport = 0; ///< Ends up to this number were seen: the worker waits only when it has no later one.
     Milliseconds wait{0}; ///< The worker may hold its answer this long while it has nothing to report.
 };
 
--- a/src/node_base.h
+++ b/src/node_base.h
@@ -147,6 +147,7 @@
     bool ordering = false; ///< An exchange that carries orders is under way.
     bool owned = false; ///< Whether this daemon owned the worker at the last tick.
     std::uint64_t ackedReport = 0; ///< Ends up to this number are in the log.
+    std::uint64_t seenReport = 0; ///< Highest number of an end that it reported.
     std::vector<ReportedEnd> pendingEnds; ///< Reported ends that are not known to be in the log, by rising number.
     std::vector<AttemptNumber> active; ///< What ran there at the last report.
     bool listed = false; ///< On the last host list.
@@ -272,14 +273,17 @@
 /** Writing and loading of snapshots. */
 struct SnapshotWork {
     LoadPhase phase = LoadPhase::None;
+    bool needsWindow = false; ///< While seeking: the next read tells where to look.
+    bool replaysAll = false; ///< There is no snapshot: the whole log is replayed.
     std::vector<SnapshotParts> collected; ///< While seeking: snapshots with any part found.
     std::vector<std::uint64_t> refused; ///< Offsets of snapshots that were refused.
-    std::uint64_t seekFrom = 0; ///< Where the seeking began.
+    std::uint64_t seekFrom = 0; ///< Where the window begins.
     std::uint64_t seekNext = 0; ///< Next offset to read while seeking.
-    std::uint64_t seekEnd = 0; ///< Where it ends.
+    std::uint64_t seekEnd = 0; ///< Where the window ends.
+    TableDigest decoding; ///< What the tables that are being decoded must come to.
     std::uint64_t loadedOffset = 0; ///< Offset of the snapshot that was loaded; zero for none.
-    bool confirmed = true; ///< Whether a peer's digest has confirmed what was loaded.
-    MonotonicTime loadedAt{};
+    MonotonicTime loadedAt{}; ///< When tables were last replaced.
+    bool isConfirmed = true; ///< Whether a peer's digest has confirmed what was loaded.
     std::uint64_t newestRecord = 0; ///< Offset of the record that begins the newest complete snapshot.
     std::uint64_t newestOffset = 0; ///< Offset of its tables.
     SnapshotParts passing; ///< Parts counted as they pass, without their bytes.
--- a/src/systems/lapse.h
+++ b/src/systems/lapse.h
@@ -15,7 +15,7 @@
     }
 
     /** Judges whether an attempt is to be marked or confirmed now. */
-    void consider(AttemptRef attempt, WorkerLinkRef link);
+    void consider(AttemptRef attempt, WorkerLinkRef ref);
 
     /** Proposes what was collected. */
     void propose();
--- a/src/systems/lifecycle.cpp
+++ b/src/systems/lifecycle.cpp
@@ -1,4 +1,5 @@
 #include "node_func.h"
+#include "systems/snapshot_work.h"
 #include "systems/systems.h"
 
 #include <algorithm>
@@ -56,7 +57,8 @@
 
 void lifecycleSystem(Node &node, const TickTime &time)
 {
-    if (node.phase == NodePhase::CatchingUp && node.view.caughtUp && selfRef(node).isSet()) {
+    if (node.phase == NodePhase::CatchingUp && node.view.caughtUp && selfRef(node).isSet()
+        && isSnapshotTrusted(node, time)) {
         node.phase = NodePhase::Serving;
     }
     if (node.phase == NodePhase::Serving && isSuperseded(node)) {
--- a/src/systems/read_log.cpp
+++ b/src/systems/read_log.cpp
@@ -1,4 +1,5 @@
 #include "node_func.h"
+#include "systems/snapshot_work.h"
 #include "systems/systems.h"
 
 #include "command_func.h"
@@ -72,6 +73,7 @@
     const auto result = applyEntry(node.tables, entry);
     node.view.entryReceivedAt = time.now;
     ++node.counters.recordsApplied;
+    noteApplied(node, entry, time);
     if (isOwnBatch(node, entry) && result.reason != Reason::BatchRepeated) {
         resolveBatch(node, result);
     }
--- a/src/systems/worker_order.cpp
+++ b/src/systems/worker_order.cpp
@@ -49,6 +49,7 @@
     sync.address = link.address;
     sync.bootId = link.bootId;
     sync.ackedReport = link.ackedReport;
+    sync.seenReport = link.seenReport;
     return sync;
 }
 
--- a/src/systems/worker_order.h
+++ b/src/systems/worker_order.h
@@ -15,16 +15,16 @@
     OrderBook(Node &node, const TickTime &time);
 
     /** Adds what an attempt needs: a start, a renewal, a stop, or nothing. */
-    void consider(AttemptRef attempt, WorkerLinkRef link);
+    void consider(AttemptRef attempt, WorkerLinkRef ref);
 
     /** Stops what runs at a worker although it is over. */
-    void stopStrays(WorkerLinkRef link);
+    void stopStrays(WorkerLinkRef ref);
 
     /** Sends all orders, and keeps one exchange that waits under way with each worker. */
     void send();
 
 private:
-    WorkerSync &syncOf(WorkerLinkRef link);
+    WorkerSync &syncOf(WorkerLinkRef ref);
     void orderStart(AttemptRef attempt, const WorkerLink &link, AttemptLink &row, WorkerSync &sync);
     void orderRevocation(AttemptRef attempt, AttemptLink &row, WorkerSync &sync);
     void orderRenewal(AttemptRef attempt, const WorkerLink &link, AttemptLink &row, WorkerSync &sync);
--- a/src/systems/worker_report.cpp
+++ b/src/systems/worker_report.cpp
@@ -31,6 +31,7 @@
     link.bootId = bootId;
     link.clock = {};
     link.ackedReport = 0;
+    link.seenReport = 0;
     link.pendingEnds.clear();
     link.active.clear();
 }
@@ -58,9 +59,9 @@
 void noteEnds(WorkerLink &link, const WorkerReport &report)
 {
     for (const auto &it : report.ends) {
-        const auto last = link.pendingEnds.empty() ? link.ackedReport : link.pendingEnds.back().report;
-        if (it.report > last) {
+        if (it.report > link.seenReport) {
             link.pendingEnds.push_back(it);
+            link.seenReport = it.report;
         }
     }
 }
--- a/tests/fakes/fake_worker.cpp
+++ b/tests/fakes/fake_worker.cpp
@@ -59,13 +59,12 @@
         return;
     }
     expire();
-    const auto reportBefore = m_lastReport;
     const bool rightBoot = sync.bootId == m_bootId;
     if (rightBoot) {
         takeOrders(sync);
     }
     const bool hasOrders = !sync.starts.empty() || !sync.stops.empty();
-    if (!rightBoot || hasOrders || m_lastReport != reportBefore || sync.wait == Milliseconds{0}) {
+    if (!rightBoot || hasOrders || m_lastReport > sync.seenReport || sync.wait == Milliseconds{0}) {
         reply(makeReport());
         return;
     }
