--- /dev/null
+++ b/bench/fuzz.cpp
@@ -0,0 +1,111 @@
+/** @file fuzz.cpp The long fuzzing run: many seeds on several threads, until enough steps were checked. */
+#include "fakes/fuzz_run.h"
+
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <iostream>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+namespace
+{
+
+using namespace flamingotally::fakes;
+
+/** What the command line asks for. */
+struct Options {
+    std::uint64_t steps = 1'000'000;
+    std::uint64_t firstSeed = 1'000;
+    unsigned threads = 6;
+    int cells = 20;
+    int longestList = 400;
+    bool shrink = false;
+    bool keepGoing = false;
+};
+
+/** Sum over all seeds. */
+struct Total {
+    std::mutex mutex;
+    std::uint64_t seeds = 0;
+    std::uint64_t failedSeeds = 0;
+    FuzzReport sum;
+};
+
+void add(Total &total, std::uint64_t seed, const FuzzReport &report)
+{
+    const std::scoped_lock lock(total.mutex);
+    ++total.seeds;
+    total.sum.cells += report.cells;
+    total.sum.steps += report.steps;
+    total.sum.checks += report.checks;
+    total.sum.accepted += report.accepted;
+    total.sum.runs += report.runs;
+    if (!report.passed) {
+        ++total.failedSeeds;
+        fmt::print("seed {} failed:\n{}\n", seed, report.text);
+    }
+}
+
+bool isDone(Total &total, const Options &options)
+{
+    const std::scoped_lock lock(total.mutex);
+    return total.sum.steps >= options.steps || (total.failedSeeds > 0 && !options.keepGoing);
+}
+
+std::optional<Options> parse(int argc, char **argv)
+{
+    namespace po = boost::program_options;
+    Options options;
+    po::options_description described("Options");
+    described.add_options()("help", "show this text")(
+        "steps", po::value(&options.steps)->default_value(options.steps), "steps to check at least")(
+        "first-seed", po::value(&options.firstSeed)->default_value(options.firstSeed), "seed of the first list")(
+        "threads", po::value(&options.threads)->default_value(options.threads), "threads")(
+        "cells", po::value(&options.cells)->default_value(options.cells), "cells a seed")(
+        "longest-list", po::value(&options.longestList)->default_value(options.longestList), "acts on a cell at most")(
+        "shrink", po::bool_switch(&options.shrink), "shrink a failing list")(
+        "keep-going", po::bool_switch(&options.keepGoing), "go on after a failure");
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, described), values);
+    po::notify(values);
+    if (values.count("help") != 0) {
+        std::cout << described;
+        return std::nullopt;
+    }
+    return options;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto options = parse(argc, argv);
+    if (!options) {
+        return EXIT_SUCCESS;
+    }
+    Total total;
+    std::atomic<std::uint64_t> nextSeed = options->firstSeed;
+    std::vector<std::jthread> threads;
+    for (unsigned n = 0; n < options->threads; ++n) {
+        threads.emplace_back([&] {
+            while (!isDone(total, *options)) {
+                const auto seed = nextSeed++;
+                add(total, seed, fuzz({seed, options->cells, options->longestList, options->shrink}));
+            }
+        });
+    }
+    threads.clear();
+    fmt::print("{} seeds, {} cells, {} steps, {} checks, {} jobs accepted, {} attempts run, {} seeds failed\n",
+               total.seeds,
+               total.sum.cells,
+               total.sum.steps,
+               total.sum.checks,
+               total.sum.accepted,
+               total.sum.runs,
+               total.failedSeeds);
+    return total.failedSeeds == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/src/request_type.h
+++ b/src/request_type.h
@@ -22,7 +22,7 @@
 struct RequestId {
     std::array<std::uint8_t, 16> bytes{}; ///< The UUID in network order.
 
-    friend auto operator<=>(const RequestId &, const RequestId &) = default;
+    friend auto operator<=>(const RequestId &, const RequestId &) = default; // NOLINT(modernize-use-nullptr)
 
     bool isSet() const
     {
--- a/tests/fakes/cell.cpp
+++ b/tests/fakes/cell.cpp
@@ -95,8 +95,9 @@
         setLimit(0, it, ampleCores);
     }
     pass(configuring);
-    for (std::uint8_t n = 0; n < teamNames.size(); ++n) {
-        grant(0, teamNames[n], n, teamNames[n]);
+    std::uint8_t number = 0;
+    for (const auto *it : teamNames) {
+        grant(0, it, number++, it);
     }
     for (const auto &it : cellProfiles()) {
         publish(0, it);
--- a/tests/fakes/fuzz.cpp
+++ b/tests/fakes/fuzz.cpp
@@ -65,6 +65,7 @@
 constexpr std::uint8_t mostKeys = 200;
 constexpr Milliseconds afterAct{40};
 constexpr Milliseconds longestPass{5'000};
+constexpr Milliseconds untilStopped{-1};
 
 WorldLayout layoutOf(std::uint64_t seed)
 {
@@ -150,7 +151,7 @@
 {
     const auto &[name, spec] = cellProfiles()[act.which % cellProfiles().size()];
     Task task;
-    task.runTime = Milliseconds{spec.kind == WorkKind::Service ? -1 : 20 + act.how % 3'000};
+    task.runTime = spec.kind == WorkKind::Service ? untilStopped : Milliseconds{20 + act.how % 3'000};
     task.fails = act.how % 13 == 0;
     task.answerBytes = act.how % 11 == 0 ? 10'000 : 16;
     auto submit = cell.makeSubmission(name, task);
--- a/tests/fakes/oracle.cpp
+++ b/tests/fakes/oracle.cpp
@@ -178,17 +178,17 @@
 
 // Calls -------------------------------------------------------------------------------------------------------------
 
-void Oracle::onCallSent(std::size_t call)
+void Oracle::onCallSent(std::size_t index)
 {
-    const auto &action = m_world.journal.calls[call].request.action;
+    const auto &action = m_world.journal.calls[index].request.action;
     if (const auto *config = std::get_if<ConfigAction>(&action)) {
         const auto [item, value] = itemOf(config->command);
-        m_changes[item].push_back({call, value});
+        m_changes[item].push_back({index, value});
         if (const auto *grant = std::get_if<GrantKey>(&config->command)) {
             m_labels[grant->digest] = grant->label;
         }
     } else if (const auto *submit = std::get_if<SubmitAction>(&action)) {
-        m_submissions[submit->payload].push_back(call);
+        m_submissions[submit->payload].push_back(index);
         if (submit->request.isSet()) {
             m_payloads[submit->request].insert(submit->payload);
         }
--- a/tests/fakes/oracle.h
+++ b/tests/fakes/oracle.h
@@ -84,8 +84,8 @@
     using Changes = std::vector<Change>;
     using TaskKey = std::pair<RequestId, std::uint32_t>;
 
-    void onCallSent(std::size_t call);
-    void onCallAnswered(std::size_t call);
+    void onCallSent(std::size_t index);
+    void onCallAnswered(std::size_t index);
     void onRunStarted(const Run &run);
     void onRunEnded(const Run &run);
     void checkStart(const Run &run, const SubmitAction &submit);
--- /dev/null
+++ b/tests/fuzz_test.cpp
@@ -0,0 +1,36 @@
+/** @file fuzz_test.cpp The promises under random acts and faults, from fixed seeds. */
+#include "fakes/fuzz_run.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace flamingotally;
+
+class FuzzTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FuzzTest);
+    CPPUNIT_TEST(promisesHoldUnderRandomActs);
+    CPPUNIT_TEST(equalPlansGiveEqualReports);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void promisesHoldUnderRandomActs()
+    {
+        for (const std::uint64_t seed : {11, 12, 13}) {
+            const auto report = fakes::fuzz({.seed = seed, .cells = 25, .longestList = 150});
+            CPPUNIT_ASSERT_MESSAGE(report.text, report.passed);
+            CPPUNIT_ASSERT(report.accepted > 0 && report.runs > 0);
+        }
+    }
+
+    void equalPlansGiveEqualReports()
+    {
+        const fakes::FuzzPlan plan{.seed = 21, .cells = 3, .longestList = 40};
+        const auto one = fakes::fuzz(plan);
+        const auto other = fakes::fuzz(plan);
+        CPPUNIT_ASSERT_EQUAL(one.text, other.text);
+        CPPUNIT_ASSERT_EQUAL(one.checks, other.checks);
+        CPPUNIT_ASSERT_EQUAL(one.runs, other.runs);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FuzzTest);
