Connect a daemon's ports: log, workers, host list and peers

Each port turns what the tick decided into messages and what arrives into rows of an inbox; none decides. An append counts as refused only when it was never sent or the log denied it. Heartbeats go over UDP and records between daemons over TCP, sealed by HMAC-SHA256 and bounded; what is forged is counted and dropped. A ring keeps the newest records for peers that cannot read the log.

--- a/src/codec/log_codec.cpp
+++ b/src/codec/log_codec.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr std::uint8_t logPageVersion = 1;
+constexpr std::uint8_t recordRequestVersion = 1;
 
 } // namespace
 
@@ -25,4 +26,15 @@
     return decodeVersioned<LogPage>(bytes, logPageVersion, Step::ReadLog);
 }
 
+std::string encodeRecordRequest(std::uint64_t from)
+{
+    return encodeValue(recordRequestVersion) + encodeValue(from);
+}
+
+std::optional<std::uint64_t> decodeRecordRequest(std::string_view bytes)
+{
+    const auto from = decodeVersioned<std::uint64_t>(bytes, recordRequestVersion, Step::FetchRecords);
+    return from.ok() ? std::optional(*from) : std::nullopt;
+}
+
 } // namespace flamingotally
--- a/src/codec/log_codec.h
+++ b/src/codec/log_codec.h
@@ -6,6 +6,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,4 +47,10 @@
 
 absl::StatusOr<LogPage> decodeLogPage(std::string_view bytes);
 
+/** Encodes a daemon's request to a peer for records from an offset on. */
+std::string encodeRecordRequest(std::uint64_t from);
+
+/** Offset of a request; nothing when it is malformed or of another version. */
+std::optional<std::uint64_t> decodeRecordRequest(std::string_view bytes);
+
 } // namespace flamingotally
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -2,19 +2,12 @@
 
 #include "core/error.h"
 #include "core/table.h"
+#include "net/coroutine.h"
 #include "net/endpoint.h"
 #include "table/http_table.h"
 
 #include <absl/container/flat_hash_map.h>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include <utility>
@@ -22,19 +15,11 @@
 namespace flamingotally
 {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = beast::http;
 
-using asio::awaitable;
-using asio::ip::tcp;
-using boost::system::error_code;
-
 namespace
 {
 
-constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
-
 struct LinkTag;
 
 /** A connection to another process, in use or idle. */
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,20 +2,13 @@
 
 #include "core/error.h"
 #include "core/table.h"
+#include "net/coroutine.h"
 #include "net/endpoint.h"
 #include "net/http_error.h"
 #include "net/http_target.h"
 #include "table/http_table.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include <fmt/format.h>
@@ -26,18 +19,11 @@
 namespace flamingotally
 {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = beast::http;
 
-using asio::awaitable;
-using asio::ip::tcp;
-using boost::system::error_code;
-
 namespace
 {
 
-constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t receiveBytes = 4 * 1024; ///< Read at once while a connection is idle.
 constexpr std::size_t lingerBytes = 1024 * 1024; ///< Unread rest of a refused request that is passed over.
 constexpr Milliseconds lingerTimeout{1'000};
--- a/src/net/log_client.cpp
+++ b/src/net/log_client.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/cereal_codec.h"
 #include "codec/log_codec.h"
+#include "net/log_read.h"
 
 #include <fmt/format.h>
 
@@ -32,44 +33,14 @@
     return isClientError || result->status == unavailable ? AppendOutcome::Refused : AppendOutcome::Unknown;
 }
 
-EntryState stateOf(const absl::Status &status)
+/** Page of an answer; nothing when the log gave none. */
+std::optional<LogPage> pageOf(const HttpResult &result)
 {
-    return status.code() == absl::StatusCode::kUnimplemented ? EntryState::NewerVersion : EntryState::Malformed;
-}
-
-LogEntry toEntry(const RawRecord &record)
-{
-    LogEntry entry;
-    entry.offset = record.offset;
-    entry.appendedAt = record.appendedAt;
-    auto batch = decodeBatch(record.bytes);
-    entry.state = batch.ok() ? EntryState::Readable : stateOf(batch.status());
-    if (batch.ok()) {
-        entry.batch = *std::move(batch);
-    }
-    return entry;
-}
-
-LogRead toRead(const HttpResult &result, MonotonicTime askedAt)
-{
-    LogRead read;
-    read.askedAt = askedAt;
-    read.failed = true;
     if (!result.ok() || result->status != statusOk) {
-        return read;
+        return std::nullopt;
     }
-    const auto page = decodeLogPage(result->body);
-    if (!page.ok()) {
-        return read;
-    }
-    read.failed = false;
-    read.head = page->head;
-    read.firstKept = page->firstKept;
-    read.entries.reserve(page->records.size());
-    for (const auto &it : page->records) {
-        read.entries.push_back(toEntry(it));
-    }
-    return read;
+    auto page = decodeLogPage(result->body);
+    return page.ok() ? std::optional(*std::move(page)) : std::nullopt;
 }
 
 } // namespace
@@ -104,9 +75,19 @@
     call.maxResponseBytes = maxLogPageBytes;
     call.step = Step::ReadLog;
     m_context.http.send(std::move(call), [this, askedAt = m_context.clock.now()](const HttpResult &result) {
-        m_context.inbox.logReads.push_back(toRead(result, askedAt));
-        m_context.wake();
+        takePage(pageOf(result), askedAt);
     });
 }
 
+void HttpLogClient::takePage(const std::optional<LogPage> &page, MonotonicTime askedAt)
+{
+    if (page) {
+        for (const auto &it : page->records) {
+            m_context.records.add(it);
+        }
+    }
+    m_context.inbox.logReads.push_back(page ? toLogRead(*page, askedAt) : failedLogRead(askedAt));
+    m_context.wake();
+}
+
 } // namespace flamingotally
--- a/src/net/log_client.h
+++ b/src/net/log_client.h
@@ -1,24 +1,13 @@
 /** @file log_client.h The platform's log over HTTP. */
 #pragma once
 
-#include "net/clock.h"
-#include "net/http_client.h"
-#include "node_base.h"
+#include "net/port_context.h"
 
-#include <functional>
+#include <optional>
 
 namespace flamingotally
 {
 
-/** What the ports of a daemon share. */
-struct PortContext {
-    HttpClient &http;
-    const Settings &settings;
-    Inbox &inbox; ///< Filled with what arrives.
-    const SystemClock &clock;
-    std::function<void()> wake; ///< Called when the inbox has something.
-};
-
 /** Appends to the platform's log and reads it. */
 class HttpLogClient
 {
@@ -32,6 +21,8 @@
     void readFrom(std::uint64_t offset);
 
 private:
+    void takePage(const std::optional<LogPage> &page, MonotonicTime askedAt);
+
     PortContext m_context;
 };
 
--- /dev/null
+++ b/src/net/log_read.cpp
@@ -0,0 +1,54 @@
+#include "net/log_read.h"
+
+#include "codec/cereal_codec.h"
+
+#include <utility>
+
+namespace flamingotally
+{
+
+namespace
+{
+
+EntryState stateOf(const absl::Status &status)
+{
+    return status.code() == absl::StatusCode::kUnimplemented ? EntryState::NewerVersion : EntryState::Malformed;
+}
+
+LogEntry toEntry(const RawRecord &record)
+{
+    LogEntry entry;
+    entry.offset = record.offset;
+    entry.appendedAt = record.appendedAt;
+    auto batch = decodeBatch(record.bytes);
+    entry.state = batch.ok() ? EntryState::Readable : stateOf(batch.status());
+    if (batch.ok()) {
+        entry.batch = *std::move(batch);
+    }
+    return entry;
+}
+
+} // namespace
+
+LogRead toLogRead(const LogPage &page, MonotonicTime askedAt)
+{
+    LogRead read;
+    read.askedAt = askedAt;
+    read.head = page.head;
+    read.firstKept = page.firstKept;
+    read.entries.reserve(page.records.size());
+    for (const auto &it : page.records) {
+        read.entries.push_back(toEntry(it));
+    }
+    return read;
+}
+
+LogRead failedLogRead(MonotonicTime askedAt)
+{
+    LogRead read;
+    read.askedAt = askedAt;
+    read.failed = true;
+    return read;
+}
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/net/peer_channel.cpp
@@ -0,0 +1,248 @@
+#include "net/peer_channel.h"
+
+#include "codec/cereal_codec.h"
+#include "codec/log_codec.h"
+#include "codec/seal.h"
+#include "core/error.h"
+#include "net/coroutine.h"
+#include "net/endpoint.h"
+#include "net/log_read.h"
+#include "net/peer_frame.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <utility>
+
+namespace flamingotally
+{
+
+using asio::ip::udp;
+
+namespace
+{
+
+constexpr std::size_t maxDatagramBytes = 2'048;
+constexpr std::size_t maxRequestBytes = 256;
+constexpr std::size_t maxPageBytes = 1024 * 1024;
+constexpr std::size_t pageBytes = 256 * 1024; ///< Records of one answer; the last one may exceed it.
+constexpr std::size_t maxServed = 32; ///< Peers that are served at a time.
+constexpr Milliseconds exchangeTimeout{2'000};
+
+} // namespace
+
+struct AsioPeerChannel::State {
+    State(asio::io_context &context, PortContext shared)
+        : io(context), ports(std::move(shared)), socket(context), acceptor(context)
+    {
+    }
+
+    const std::string &secret() const
+    {
+        return ports.settings.clusterSecret;
+    }
+
+    asio::io_context &io;
+    PortContext ports;
+    udp::socket socket;
+    tcp::acceptor acceptor;
+    std::size_t served = 0;
+};
+
+namespace
+{
+
+using State = AsioPeerChannel::State;
+using StatePtr = std::shared_ptr<State>;
+
+/** Takes in one datagram. */
+void takeDatagram(State &state, std::string_view bytes)
+{
+    const auto body = openMessage(state.secret(), PeerMessage::Heartbeat, bytes);
+    auto heartbeat = body ? decodeHeartbeat(*body) : absl::StatusOr<Heartbeat>(absl::UnknownError("forged"));
+    if (!heartbeat.ok()) {
+        ++state.ports.counters.heartbeatsDropped;
+        return;
+    }
+    state.ports.inbox.heartbeats.push_back({*std::move(heartbeat), state.ports.clock.now()});
+    state.ports.wake();
+}
+
+awaitable<void> receiveDatagrams(StatePtr shared)
+{
+    const StatePtr state = std::move(shared);
+    std::array<char, maxDatagramBytes> buf{};
+    while (state->socket.is_open()) {
+        udp::endpoint sender;
+        const auto [ec, n] = co_await state->socket.async_receive_from(asio::buffer(buf), sender, useTuple);
+        if (ec == asio::error::operation_aborted) {
+            break;
+        }
+        if (!ec) {
+            takeDatagram(*state, {buf.data(), n});
+        }
+    }
+}
+
+/** Answers one request for records. */
+awaitable<void> serveRecords(const StatePtr &state, beast::tcp_stream &stream)
+{
+    stream.expires_after(exchangeTimeout);
+    const auto request = co_await readFrame(stream, maxRequestBytes);
+    const auto body = request ? openMessage(state->secret(), PeerMessage::RecordRequest, *request) : std::nullopt;
+    const auto from = body ? decodeRecordRequest(*body) : std::nullopt;
+    if (!from) {
+        ++state->ports.counters.heartbeatsDropped;
+        co_return;
+    }
+    const auto page = encodeLogPage(state->ports.records.pageFrom(*from, pageBytes));
+    co_await writeFrame(stream, sealMessage(state->secret(), PeerMessage::RecordPage, page));
+}
+
+awaitable<void> servePeer(StatePtr shared, tcp::socket socket)
+{
+    const StatePtr state = std::move(shared);
+    beast::tcp_stream stream(std::move(socket));
+    ++state->served;
+    co_await serveRecords(state, stream);
+    --state->served;
+}
+
+awaitable<void> acceptPeers(StatePtr shared)
+{
+    const StatePtr state = std::move(shared);
+    while (state->acceptor.is_open()) {
+        auto [ec, socket] = co_await state->acceptor.async_accept(useTuple);
+        if (ec == asio::error::operation_aborted) {
+            break;
+        }
+        if (!ec && state->served < maxServed) {
+            asio::co_spawn(state->io, servePeer(state, std::move(socket)), asio::detached);
+        }
+    }
+}
+
+/** Asks a peer for records; nothing when it gave none. */
+awaitable<std::optional<LogPage>> askForRecords(const StatePtr &state, const std::string &address, std::uint64_t from)
+{
+    const auto endpoint = parseEndpoint<tcp::endpoint>(address);
+    if (!endpoint) {
+        co_return std::nullopt;
+    }
+    beast::tcp_stream stream(state->io);
+    stream.expires_after(exchangeTimeout);
+    if (const auto [ec] = co_await stream.async_connect(*endpoint, useTuple); ec) {
+        co_return std::nullopt;
+    }
+    const auto request = sealMessage(state->secret(), PeerMessage::RecordRequest, encodeRecordRequest(from));
+    if (!co_await writeFrame(stream, request)) {
+        co_return std::nullopt;
+    }
+    const auto answer = co_await readFrame(stream, maxPageBytes);
+    const auto body = answer ? openMessage(state->secret(), PeerMessage::RecordPage, *answer) : std::nullopt;
+    if (!body) {
+        co_return std::nullopt;
+    }
+    auto page = decodeLogPage(*body);
+    co_return page.ok() ? std::optional(*std::move(page)) : std::nullopt;
+}
+
+awaitable<void> fetchAndTell(StatePtr shared, std::string peer, std::uint64_t from)
+{
+    const StatePtr state = std::move(shared);
+    const std::string address = std::move(peer);
+    const auto askedAt = state->ports.clock.now();
+    const auto page = co_await askForRecords(state, address, from);
+    if (page) {
+        for (const auto &it : page->records) {
+            state->ports.records.add(it);
+        }
+    }
+    state->ports.inbox.peerReads.push_back(page ? toLogRead(*page, askedAt) : failedLogRead(askedAt));
+    state->ports.wake();
+}
+
+/** Binds both sockets to one address. */
+error_code bindBoth(State &state, udp::endpoint endpoint)
+{
+    error_code ec;
+    state.acceptor.open(tcp::endpoint(endpoint.address(), endpoint.port()).protocol(), ec);
+    if (!ec) {
+        state.acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    }
+    if (!ec) {
+        state.acceptor.bind({endpoint.address(), endpoint.port()}, ec);
+    }
+    if (!ec) {
+        state.acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (!ec) {
+        endpoint.port(state.acceptor.local_endpoint().port());
+        state.socket.open(endpoint.protocol(), ec);
+    }
+    if (!ec) {
+        state.socket.bind(endpoint, ec);
+    }
+    if (!ec) {
+        state.socket.non_blocking(true, ec);
+    }
+    return ec;
+}
+
+} // namespace
+
+AsioPeerChannel::AsioPeerChannel(asio::io_context &io, const PortContext &context)
+    : m_state(std::make_shared<State>(io, context))
+{
+}
+
+AsioPeerChannel::~AsioPeerChannel()
+{
+    close();
+}
+
+absl::Status AsioPeerChannel::listen(const std::string &address)
+{
+    const auto endpoint = parseEndpoint<udp::endpoint>(address);
+    if (!endpoint) {
+        return makeError(
+            absl::StatusCode::kInvalidArgument, Step::Listen, address, "not an address of the form IP:port");
+    }
+    if (const auto ec = bindBoth(*m_state, *endpoint)) {
+        return makeError(absl::StatusCode::kUnavailable, Step::Listen, address, ec.message());
+    }
+    asio::co_spawn(m_state->io, receiveDatagrams(m_state), asio::detached);
+    asio::co_spawn(m_state->io, acceptPeers(m_state), asio::detached);
+    return absl::OkStatus();
+}
+
+std::string AsioPeerChannel::address() const
+{
+    error_code ignored;
+    return endpointText(m_state->socket.local_endpoint(ignored));
+}
+
+void AsioPeerChannel::sendHeartbeat(const std::string &address, const Heartbeat &heartbeat)
+{
+    const auto endpoint = parseEndpoint<udp::endpoint>(address);
+    if (!endpoint || !m_state->socket.is_open()) {
+        return;
+    }
+    const auto bytes = sealMessage(m_state->secret(), PeerMessage::Heartbeat, encodeHeartbeat(heartbeat));
+    error_code ignored; // the next heartbeat makes up for one that is lost
+    m_state->socket.send_to(asio::buffer(bytes), *endpoint, 0, ignored);
+}
+
+void AsioPeerChannel::fetchRecords(const std::string &address, std::uint64_t fromOffset)
+{
+    asio::co_spawn(m_state->io, fetchAndTell(m_state, address, fromOffset), asio::detached);
+}
+
+void AsioPeerChannel::close()
+{
+    error_code ignored;
+    m_state->socket.close(ignored);
+    m_state->acceptor.close(ignored);
+}
+
+} // namespace flamingotally
