Find the attempts of a worker without scanning all

Leases and drains looked at all 6,500 live attempts for each record, to find those of one daemon's own workers. A derived lookup, kept when attempts begin and end, gives them by worker. bench/tick_cost, two-year size, one record a tick: accepted and placed 266 -> 62 us, ended 272 -> 56 us. Commands still walk the table: the lookup has no order.

--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -179,7 +179,7 @@
     state.held = need;
     state.placedAt = context.time;
     const auto attempt = tables.attempts.insert({number, placement.task, placement.worker, bootId}, state);
-    tables.lookups.attempts[number] = attempt;
+    lookUpAttempt(tables, attempt);
 
     auto &task = tables.tasks.get<TaskState>(placement.task);
     task.phase = TaskPhase::Placed;
@@ -204,7 +204,7 @@
     const auto identity = tables.attempts.get<AttemptIdentity>(attempt);
     const auto state = tables.attempts.get<AttemptState>(attempt);
     freeWhatWasHeld(tables, identity.task, identity.worker, state.held);
-    tables.lookups.attempts.erase(identity.number);
+    forgetAttempt(tables, attempt);
     tables.attempts.erase(attempt);
 
     auto &task = tables.tasks.get<TaskState>(identity.task);
--- a/src/systems/drain.cpp
+++ b/src/systems/drain.cpp
@@ -87,21 +87,28 @@
     const auto now = estimateLogTime(node, time);
     ServiceWaves waves(tables, stopsInHand);
     std::vector<AttemptNumber> stops;
-    tables.attempts.forEach([&](AttemptRef attempt) {
+    const auto drainAttempt = [&](AttemptRef attempt, LogTime since) {
         const auto &identity = tables.attempts.get<AttemptIdentity>(attempt);
-        const auto &state = tables.attempts.get<AttemptState>(attempt);
-        const auto since = drainsSince(tables, identity.worker);
-        if (!since || state.stop != StopCause::None || stopsInHand.contains(identity.number)
-            || !ownsWorker(node, identity.worker, time)) {
+        const bool isStopping = tables.attempts.get<AttemptState>(attempt).stop != StopCause::None;
+        if (isStopping || stopsInHand.contains(identity.number)) {
             return;
         }
         const auto job = tables.tasks.get<TaskIdentity>(identity.task).job;
         const auto &treatment = tables.jobs.get<JobSpec>(job).treatment;
         const bool isService = treatment.kind == WorkKind::Service;
-        const bool mayMove = isService ? now - *since >= waveBound || waves.take(job) : treatment.checkpoint;
+        const bool mayMove = isService ? now - since >= waveBound || waves.take(job) : treatment.checkpoint;
         if (mayMove) {
             stops.push_back(identity.number);
         }
+    };
+    tables.workers.forEach([&](WorkerRef worker) {
+        const auto since = drainsSince(tables, worker);
+        if (!since || !ownsWorker(node, worker, time)) {
+            return;
+        }
+        for (const auto it : attemptsOf(tables, worker)) {
+            drainAttempt(it, *since);
+        }
     });
     proposeStops(node, stops, StopCause::Drained, time);
 }
--- a/src/systems/lease.cpp
+++ b/src/systems/lease.cpp
@@ -41,9 +41,12 @@
 {
     OrderBook orders(node, time);
     LapseCollector lapses(node, time);
-    node.tables.attempts.forEach([&](AttemptRef it) {
-        const auto link = linkOf(node, node.tables.attempts.get<AttemptIdentity>(it).worker);
-        if (link.isSet()) {
+    node.workerLinks.forEach([&](WorkerLinkRef link) {
+        const auto worker = node.workerLinks.get<WorkerLink>(link).worker;
+        if (!node.tables.workers.contains(worker) || linkOf(node, worker) != link) {
+            return;
+        }
+        for (const auto it : attemptsOf(node.tables, worker)) {
             orders.consider(it, link);
             lapses.consider(it, link);
         }
--- a/src/tables.cpp
+++ b/src/tables.cpp
@@ -1,5 +1,7 @@
 #include "tables.h"
 
+#include <algorithm>
+
 namespace flamingotally
 {
 
@@ -14,9 +16,37 @@
     tables.profiles.forEach([&](ProfileRef it) { found.profiles[tables.profiles.get<ProfileIdentity>(it).name] = it; });
     tables.daemons.forEach([&](DaemonRef it) { found.daemons[tables.daemons.get<DaemonIdentity>(it).name] = it; });
     tables.requests.forEach([&](RequestRef it) { found.requests[tables.requests.get<RequestRecord>(it).id] = it; });
-    tables.attempts.forEach(
-        [&](AttemptRef it) { found.attempts[tables.attempts.get<AttemptIdentity>(it).number] = it; });
     tables.lookups = std::move(found);
+    tables.attempts.forEach([&](AttemptRef it) { lookUpAttempt(tables, it); });
+}
+
+void lookUpAttempt(Tables &tables, AttemptRef attempt)
+{
+    const auto &identity = tables.attempts.get<AttemptIdentity>(attempt);
+    auto &lookups = tables.lookups;
+    lookups.attempts[identity.number] = attempt;
+    if (lookups.attemptsOfWorker.size() <= identity.worker.index) {
+        lookups.attemptsOfWorker.resize(tables.workers.capacity());
+    }
+    lookups.attemptsOfWorker[identity.worker.index].push_back(attempt);
+}
+
+void forgetAttempt(Tables &tables, AttemptRef attempt)
+{
+    const auto &identity = tables.attempts.get<AttemptIdentity>(attempt);
+    tables.lookups.attempts.erase(identity.number);
+    auto &ofWorker = tables.lookups.attemptsOfWorker[identity.worker.index];
+    if (const auto it = std::ranges::find(ofWorker, attempt); it != ofWorker.end()) {
+        *it = ofWorker.back();
+        ofWorker.pop_back();
+    }
+}
+
+const std::vector<AttemptRef> &attemptsOf(const Tables &tables, WorkerRef worker)
+{
+    static const std::vector<AttemptRef> none;
+    const auto &ofWorker = tables.lookups.attemptsOfWorker;
+    return worker.index < ofWorker.size() ? ofWorker[worker.index] : none;
 }
 
 } // namespace flamingotally
--- a/src/tables.h
+++ b/src/tables.h
@@ -39,6 +39,8 @@
     absl::flat_hash_map<std::string, DaemonRef> daemons;
     absl::flat_hash_map<RequestId, RequestRef> requests;
     absl::flat_hash_map<AttemptNumber, AttemptRef> attempts;
+    std::vector<std::vector<AttemptRef>> attemptsOfWorker; ///< By index of the worker, in no order: commands must
+                                                           ///< not depend on it.
 };
 
 /**
@@ -72,6 +74,15 @@
 /** Makes the lookups anew from the tables, after a snapshot was loaded. */
 void rebuildLookups(Tables &tables);
 
+/** Enters a new attempt into the lookups. */
+void lookUpAttempt(Tables &tables, AttemptRef attempt);
+
+/** Takes an attempt that is about to end out of the lookups. */
+void forgetAttempt(Tables &tables, AttemptRef attempt);
+
+/** Live attempts of a worker, in no order. */
+const std::vector<AttemptRef> &attemptsOf(const Tables &tables, WorkerRef worker);
+
 /**
  * Finds a row by name.
  * @return Its address, unset when there is none.
--- a/tests/fakes/table_builder.cpp
+++ b/tests/fakes/table_builder.cpp
@@ -60,6 +60,7 @@
     state.held = held;
     state.placedAt = at;
     const auto attempt = tables.attempts.insert({tables.position.nextAttempt++, task, worker, 1}, state);
+    lookUpAttempt(tables, attempt);
     auto &taskState = tables.tasks.get<TaskState>(task);
     taskState.phase = TaskPhase::Placed;
     taskState.attempt = attempt;
