Run the daemon: ports, front and tick on one io_context; add flamingoctl

A shutdown keeps the node from being drained before its front has closed, so no request that still arrives is refused. flamingoctl has its commands in one table, and an exit code for each kind of failure.

--- /dev/null
+++ b/apps/flamingoctl/operator_commands.cpp
@@ -0,0 +1,268 @@
+#include "change.h"
+#include "commands.h"
+#include "core/error.h"
+#include "key_func.h"
+#include "output.h"
+
+#include <absl/strings/ascii.h>
+#include <fmt/format.h>
+
+#include <array>
+#include <random>
+
+namespace flamingotally
+{
+
+namespace
+{
+
+constexpr std::size_t newKeyBytes = 32;
+
+constexpr std::array keyColumns = {
+    Column{"KEY", "label"},
+    Column{"TEAM", "team"},
+    Column{"ROLE", "role"},
+    Column{"WITHDRAWN", "withdrawn"},
+};
+
+constexpr std::array teamColumns = {
+    Column{"TEAM", "name"},
+    Column{"VERSION", "version"},
+    Column{"DELETED", "deleted"},
+    Column{"SHARE", "share"},
+    Column{"SHARE PART", "sharePart"},
+    Column{"USE PART", "usePart"},
+    Column{"CPU", "running.cpuMilli"},
+    Column{"CPU LIMIT", "limit.cpuMilli"},
+    Column{"MEMORY", "running.memoryMb"},
+    Column{"MEMORY LIMIT", "limit.memoryMb"},
+    Column{"ACC", "running.accelerators"},
+    Column{"ACC LIMIT", "limit.accelerators"},
+    Column{"WAITING", "waitingTasks"},
+};
+
+constexpr std::array domainColumns = {
+    Column{"DOMAIN", "name"},
+    Column{"SERVICE", "service"},
+    Column{"VERSION", "version"},
+    Column{"WORKERS", "workers"},
+    Column{"LIVE", "liveWorkers"},
+    Column{"ATTEMPTS", "attempts"},
+    Column{"CPU", "used.cpuMilli"},
+    Column{"CPU TOTAL", "total.cpuMilli"},
+    Column{"ACC", "used.accelerators"},
+    Column{"ACC TOTAL", "total.accelerators"},
+};
+
+constexpr std::array daemonColumns = {
+    Column{"DAEMON", "name"},
+    Column{"DOMAIN", "domain"},
+    Column{"HTTP", "httpAddress"},
+    Column{"HEARD", "heard"},
+    Column{"AGO MS", "heardAgoMs"},
+    Column{"LEAVING", "leaving"},
+    Column{"READS LOG", "readsLog"},
+    Column{"OFFSET", "appliedOffset"},
+    Column{"DIGEST AT", "digestOffset"},
+    Column{"DIGEST", "digest"},
+};
+
+constexpr std::array workerColumns = {
+    Column{"WORKER", "name"},
+    Column{"DOMAIN", "domain"},
+    Column{"RACK", "rack"},
+    Column{"SERVICE", "service"},
+    Column{"ATTEMPTS", "attempts"},
+    Column{"CPU", "used.cpuMilli"},
+    Column{"CPU TOTAL", "total.cpuMilli"},
+    Column{"MEMORY", "used.memoryMb"},
+    Column{"MEMORY TOTAL", "total.memoryMb"},
+    Column{"ACC", "used.accelerators"},
+    Column{"ACC TOTAL", "total.accelerators"},
+    Column{"ENDS", "recentEnds"},
+    Column{"FAILURES", "recentFailures"},
+};
+
+constexpr std::array historyColumns = {
+    Column{"OFFSET", "offset"},
+    Column{"AT MS", "atMs"},
+    Column{"CHANGE", "change"},
+    Column{"SUBJECT", "subject"},
+    Column{"VERSION", "version"},
+    Column{"AUTHOR", "author"},
+};
+
+constexpr std::array queueColumns = {
+    Column{"PROFILE", "name"},
+    Column{"URGENCY", "spec.urgency"},
+    Column{"WAITING", "waitingTasks"},
+    Column{"PLACED", "placedTasks"},
+};
+
+std::string makeKey()
+{
+    std::random_device device;
+    std::string key;
+    for (std::size_t n = 0; n < newKeyBytes; ++n) {
+        key += fmt::format("{:02x}", device() & 0xffU);
+    }
+    return key;
+}
+
+/** A number out of the options, or the one that is there already. */
+template<typename T>
+std::int64_t givenOr(const std::optional<T> &given, const boost::json::value &current, std::string_view path)
+{
+    return given ? static_cast<std::int64_t>(*given) : static_cast<std::int64_t>(numberAt(current, path));
+}
+
+std::string teamBody(const CtlOptions &options, const boost::json::value &current)
+{
+    boost::json::object limit;
+    limit["cpuMilli"] = givenOr(options.cpuMilli, current, "limit.cpuMilli");
+    limit["memoryMb"] = givenOr(options.memoryMb, current, "limit.memoryMb");
+    limit["accelerators"] = givenOr(options.accelerators, current, "limit.accelerators");
+    boost::json::object body;
+    if (options.share || !current.is_null()) {
+        body["share"] = givenOr(options.share, current, "share");
+    }
+    if (options.queueLimit || !current.is_null()) {
+        body["queueLimit"] = givenOr(options.queueLimit, current, "queueLimit");
+    }
+    body["limit"] = std::move(limit);
+    return boost::json::serialize(body);
+}
+
+ExitCode setDomain(Session &session, const std::string &name, const char *service)
+{
+    CtlCall call{HttpMethod::Post, fmt::format("/v1/domains/{}/{}", name, service)};
+    if (const auto version = session.options().expectedVersion) {
+        call.query = {{"expectedVersion", std::to_string(*version)}};
+    }
+    return change(session, call);
+}
+
+void printCounts(std::string_view heading, const boost::json::value &counts)
+{
+    fmt::print("\n{}\n", heading);
+    printObject(counts);
+}
+
+} // namespace
+
+ExitCode grantKey(Session &session, const Arguments &arguments)
+{
+    const auto &options = session.options();
+    auto key = options.newKeyFile.empty() ? absl::StatusOr<std::string>(makeKey()) : readFile(options.newKeyFile);
+    if (!key.ok()) {
+        fmt::print(stderr, "flamingoctl: {}\n", messageOf(key.status()));
+        return ExitCode::Usage;
+    }
+    boost::json::object body;
+    body["digest"] = toString(digestOfKey(std::string(absl::StripAsciiWhitespace(*key))));
+    body["team"] = options.team;
+    body["role"] = options.role;
+    CtlCall call{HttpMethod::Put, "/v1/keys/" + arguments[0]};
+    call.body = boost::json::serialize(body);
+    const auto code = change(session, call);
+    if (code == ExitCode::Ok && options.newKeyFile.empty()) {
+        fmt::print(stderr, "the new key, shown only now: {}\n", *key);
+    }
+    return code;
+}
+
+ExitCode withdrawKey(Session &session, const Arguments &arguments)
+{
+    return change(session, {HttpMethod::Delete, "/v1/keys/" + arguments[0]});
+}
+
+ExitCode listKeys(Session &session, const Arguments &)
+{
+    return printList(session, session.call({HttpMethod::Get, "/v1/keys"}), "keys", keyColumns);
+}
+
+ExitCode setTeam(Session &session, const Arguments &arguments)
+{
+    const auto path = "/v1/teams/" + arguments[0];
+    const auto base = readBase(session, path);
+    if (base.code != ExitCode::Ok) {
+        return base.code;
+    }
+    CtlCall call{HttpMethod::Put, path, {{"expectedVersion", std::to_string(base.version)}}};
+    call.body = teamBody(session.options(), base.current);
+    return change(session, call);
+}
+
+ExitCode showTeam(Session &session, const Arguments &arguments)
+{
+    return print(session, session.call({HttpMethod::Get, "/v1/teams/" + arguments[0]}), printObject);
+}
+
+ExitCode listTeams(Session &session, const Arguments &)
+{
+    return printList(session, session.call({HttpMethod::Get, "/v1/teams"}), "teams", teamColumns);
+}
+
+ExitCode deleteTeam(Session &session, const Arguments &arguments)
+{
+    const auto path = "/v1/teams/" + arguments[0];
+    const auto base = readBase(session, path);
+    return base.code != ExitCode::Ok
+        ? base.code
+        : change(session, {HttpMethod::Delete, path, {{"expectedVersion", std::to_string(base.version)}}});
+}
+
+ExitCode takeDomainOut(Session &session, const Arguments &arguments)
+{
+    return setDomain(session, arguments[0], "out");
+}
+
+ExitCode takeDomainIn(Session &session, const Arguments &arguments)
+{
+    return setDomain(session, arguments[0], "in");
+}
+
+ExitCode listDomains(Session &session, const Arguments &)
+{
+    return printList(session, session.call({HttpMethod::Get, "/v1/domains"}), "domains", domainColumns);
+}
+
+ExitCode listDaemons(Session &session, const Arguments &)
+{
+    return printList(session, session.call({HttpMethod::Get, "/v1/daemons"}), "daemons", daemonColumns);
+}
+
+ExitCode listWorkers(Session &session, const Arguments &)
+{
+    return printList(session, session.call({HttpMethod::Get, "/v1/workers"}), "workers", workerColumns);
+}
+
+ExitCode showHistory(Session &session, const Arguments &)
+{
+    const auto &options = session.options();
+    std::vector<HttpField> query{{"most", std::to_string(options.most)}};
+    if (!options.subject.empty()) {
+        query.push_back({"subject", options.subject});
+    }
+    return printList(session, session.call({HttpMethod::Get, "/v1/history", query}), "history", historyColumns);
+}
+
+ExitCode showTop(Session &session, const Arguments &)
+{
+    const auto answer = session.call({HttpMethod::Get, "/v1/top"});
+    return print(session, answer, [](const boost::json::value &json) {
+        const auto &top = json.as_object();
+        printTable(top.at("teams"), teamColumns);
+        fmt::print("\n");
+        printTable(top.at("domains"), domainColumns);
+        fmt::print("\n");
+        printTable(top.at("daemons"), daemonColumns);
+        fmt::print("\n");
+        printTable(top.at("profiles"), queueColumns);
+        printCounts("refusals of this daemon", top.at("refusals"));
+        printCounts("rejections of its commands", top.at("rejections"));
+        printCounts("retries", top.at("retries"));
+    });
+}
+
+} // namespace flamingotally
--- /dev/null
+++ b/apps/flamingotallyd/main.cpp
@@ -0,0 +1,66 @@
+/** @file main.cpp The entry daemon: reads its settings and runs until it is told to leave. */
+#include "options.h"
+
+#include "codec/settings_codec.h"
+#include "core/error.h"
+#include "net/daemon.h"
+#include "net/log_line.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <fmt/format.h>
+
+#include <csignal>
+#include <cstdlib>
+
+namespace
+{
+
+using namespace flamingotally;
+
+/** Runs a daemon until a signal has drained it. */
+int run(const Settings &settings)
+{
+    const Logger logger(settings.logLevel);
+    boost::asio::io_context io(1);
+    const auto daemon = DaemonBuilder(settings).whenStopped([&io] { io.stop(); }).build(io);
+    if (const auto status = daemon->start(); !status.ok()) {
+        logger.write(LogLevel::Error, status);
+        return EXIT_FAILURE;
+    }
+    boost::asio::signal_set signals(io, SIGINT, SIGTERM);
+    signals.async_wait([&](const boost::system::error_code &ec, int) {
+        if (!ec) {
+            daemon->drain();
+        }
+    });
+    io.run();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto options = parseOptions(argc, argv);
+    if (!options.ok()) {
+        fmt::print(stderr, "flamingotallyd: {}\n", messageOf(options.status()));
+        return EXIT_FAILURE;
+    }
+    switch (options->mode) {
+    case Mode::Help:
+        fmt::print("{}", options->help);
+        return EXIT_SUCCESS;
+    case Mode::Version:
+        fmt::print("flamingotallyd {}\n", programVersion);
+        return EXIT_SUCCESS;
+    case Mode::PrintConfig:
+        fmt::print("{}", printSettings(options->settings));
+        return EXIT_SUCCESS;
+    case Mode::CheckConfig:
+        fmt::print("settings are valid\n");
+        return EXIT_SUCCESS;
+    default:
+        return run(options->settings);
+    }
+}
--- /dev/null
+++ b/apps/flamingotallyd/options.cpp
@@ -0,0 +1,94 @@
+#include "options.h"
+
+#include "codec/settings_codec.h"
+#include "core/error.h"
+
+#include <boost/program_options.hpp>
+
+#include <sstream>
+#include <vector>
+
+namespace flamingotally
+{
+
+namespace po = boost::program_options;
+
+namespace
+{
+
+using Texts = std::vector<std::string>;
+
+po::options_description describe()
+{
+    po::options_description all("flamingotallyd: entry daemon of the cluster scheduler flamingotally");
+    auto add = all.add_options();
+    add("help,h", "print this text");
+    add("version", "print the version");
+    add("config,c", po::value<std::string>(), "file of settings in TOML");
+    add("set,s", po::value<Texts>()->composing(), "one setting as key=value; goes before the file; may be repeated");
+    add("check-config", "check the settings and exit");
+    add("print-config", "print all settings with their meaning and exit");
+    return all;
+}
+
+Mode modeOf(const po::variables_map &values)
+{
+    if (values.count("help") > 0) {
+        return Mode::Help;
+    }
+    if (values.count("version") > 0) {
+        return Mode::Version;
+    }
+    if (values.count("check-config") > 0) {
+        return Mode::CheckConfig;
+    }
+    return values.count("print-config") > 0 ? Mode::PrintConfig : Mode::Run;
+}
+
+absl::StatusOr<Settings> readSettings(const po::variables_map &values)
+{
+    SettingsBuilder builder;
+    if (values.count("config") > 0) {
+        if (auto status = builder.addFile(values["config"].as<std::string>()); !status.ok()) {
+            return status;
+        }
+    }
+    if (values.count("set") > 0) {
+        for (const auto &it : values["set"].as<Texts>()) {
+            if (auto status = builder.addOverride(it); !status.ok()) {
+                return status;
+            }
+        }
+    }
+    return builder.build();
+}
+
+} // namespace
+
+absl::StatusOr<Options> parseOptions(int argc, const char *const *argv)
+{
+    const auto description = describe();
+    po::variables_map values;
+    try {
+        po::store(po::command_line_parser(argc, argv).options(description).positional({}).run(), values);
+        po::notify(values);
+    } catch (const po::error &error) {
+        return makeError(absl::StatusCode::kInvalidArgument, Step::ReadSettings, "", error.what());
+    }
+    Options options;
+    std::ostringstream help;
+    help << description;
+    options.help = help.str();
+    options.mode = modeOf(values);
+    if (options.mode == Mode::Help || options.mode == Mode::Version) {
+        return options;
+    }
+    auto settings = readSettings(values);
+    if (!settings.ok()) {
+        return settings.status();
+    }
+    options.settings = *std::move(settings);
+    return options;
+}
+
+} // namespace flamingotally
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -26,4 +26,10 @@
 /** Peer of an error; empty when it bears none. */
 std::string peerOf(const absl::Status &status);
 
+/** Message of an error, for people. */
+inline std::string messageOf(const absl::Status &status)
+{
+    return std::string(status.message());
+}
+
 } // namespace flamingotally
--- /dev/null
+++ b/src/net/daemon.cpp
@@ -0,0 +1,227 @@
+#include "net/daemon.h"
+
+#include "net/clock.h"
+#include "net/front.h"
+#include "net/host_list_client.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/log_client.h"
+#include "net/log_line.h"
+#include "net/peer_channel.h"
+#include "net/tick_loop.h"
+#include "net/worker_client.h"
+#include "runtime.h"
+#include "table/node_table.h"
+
+#include <boost/asio/io_context.hpp>
+#include <fmt/format.h>
+
+#include <random>
+
+namespace flamingotally
+{
+
+namespace
+{
+
+constexpr std::size_t maxRecordBytes = 4 * 1024 * 1024; ///< Newest records kept for peers.
+
+HttpServerSettings serverSettingsOf(const Settings &settings)
+{
+    HttpServerSettings it;
+    it.maxBodyBytes = settings.maxBodyBytes;
+    it.requestTimeout = settings.requestTimeout;
+    return it;
+}
+
+/** What was last written to the log about the state of the daemon. */
+struct ToldState {
+    NodePhase phase = NodePhase::CatchingUp;
+    bool fresh = false;
+    std::uint64_t digestMismatches = 0;
+};
+
+} // namespace
+
+struct Daemon::State {
+    State(boost::asio::io_context &io, Node made, std::function<void()> whenStopped);
+
+    MonotonicTime tickOnce();
+    void tellChanges();
+    void drain();
+    void stop();
+    PortContext makeContext();
+    FrontPorts makeFrontPorts();
+
+    Node node;
+    SystemClock clock;
+    Logger logger;
+    std::function<void()> stopped;
+    ToldState told;
+    bool isDraining = false;
+    TickLoop loop;
+    HttpClient http;
+    RecordRing records{maxRecordBytes};
+    HttpLogClient log;
+    HttpWorkerClient workers;
+    HttpHostList hosts;
+    AsioPeerChannel peers;
+    Front front;
+    HttpServer server;
+};
+
+Daemon::State::State(boost::asio::io_context &io, Node made, std::function<void()> whenStopped)
+    : node(std::move(made)), logger(node.settings.logLevel), stopped(std::move(whenStopped)),
+      loop(io, [this] { return tickOnce(); }), http(io), log(makeContext()), workers(makeContext()),
+      hosts(makeContext()), peers(io, makeContext()), front(node, makeFrontPorts()),
+      server(io, serverSettingsOf(node.settings), [this](const HttpRequest &request, HttpResponder respond) {
+          front.handle(request, std::move(respond));
+      })
+{
+}
+
+PortContext Daemon::State::makeContext()
+{
+    return {http, node.settings, node.inbox, node.counters, records, clock, [this] {
+                loop.wake();
+            }};
+}
+
+FrontPorts Daemon::State::makeFrontPorts()
+{
+    FrontPorts ports;
+    ports.now = [this] {
+        return clock.now();
+    };
+    ports.wake = [this] {
+        loop.wake();
+    };
+    ports.send = [this](HttpCall call, HttpCallback callback) {
+        http.send(std::move(call), std::move(callback));
+    };
+    return ports;
+}
+
+MonotonicTime Daemon::State::tickOnce()
+{
+    runTick(node, clock, log, workers, hosts, peers, front);
+    tellChanges();
+    if (node.phase == NodePhase::Drained) {
+        stop();
+    } else if (node.phase == NodePhase::Draining) {
+        drain();
+    }
+    return node.nextWake;
+}
+
+/** Writes a line when the phase or the freshness has changed, or a peer's tables differ. */
+void Daemon::State::tellChanges()
+{
+    const auto offset = std::to_string(node.tables.position.nextOffset);
+    if (std::exchange(told.phase, node.phase) != node.phase) {
+        const auto level = node.phase == NodePhase::Serving ? LogLevel::Info : LogLevel::Warning;
+        logger.write({level, Step::End, "", "phase has changed"},
+                     {{"phase", std::string(nameOf(nodePhaseTable, node.phase))}, {"offset", offset}});
+    }
+    if (std::exchange(told.fresh, node.view.fresh) != node.view.fresh) {
+        const auto level = node.view.fresh ? LogLevel::Info : LogLevel::Warning;
+        const auto *message = node.view.fresh ? "view is fresh" : "view is older than the fence";
+        logger.write({level, Step::ReadLog, node.settings.logAddress, message}, {{"offset", offset}});
+    }
+    if (std::exchange(told.digestMismatches, node.counters.digestMismatches) != node.counters.digestMismatches) {
+        logger.write({LogLevel::Error, Step::Heartbeat, "", "tables differ from a peer's"}, {{"offset", offset}});
+    }
+}
+
+/** Lets the front answer what it has in hand, then close. */
+void Daemon::State::drain()
+{
+    if (std::exchange(isDraining, true)) {
+        return;
+    }
+    server.drain([this] {
+        node.frontOpen = false;
+        loop.wake();
+    });
+}
+
+void Daemon::State::stop()
+{
+    loop.stop();
+    server.close();
+    peers.close();
+    logger.write({LogLevel::Info, Step::Shutdown, "", "stopped"}, {{"daemon", node.settings.name}});
+    if (const auto function = std::exchange(stopped, nullptr)) {
+        function();
+    }
+}
+
+Daemon::Daemon(std::unique_ptr<State> state) : m_state(std::move(state))
+{
+}
+
+Daemon::~Daemon() = default;
+
+absl::Status Daemon::start()
+{
+    auto &state = *m_state;
+    const auto &settings = state.node.settings;
+    if (auto status = state.peers.listen(settings.peerAddress); !status.ok()) {
+        return status;
+    }
+    if (auto status = state.server.listen(settings.httpAddress); !status.ok()) {
+        return status;
+    }
+    state.node.frontOpen = true;
+    state.logger.write({LogLevel::Info, Step::Listen, "", "started"},
+                       {{"daemon", settings.name},
+                        {"domain", settings.domain},
+                        {"http", state.server.address()},
+                        {"incarnation", std::to_string(state.node.incarnation)}});
+    state.loop.wake();
+    return absl::OkStatus();
+}
+
+void Daemon::drain()
+{
+    auto &state = *m_state;
+    if (state.node.phase != NodePhase::Drained) {
+        state.node.phase = NodePhase::Draining;
+        state.loop.wake();
+    }
+}
+
+std::string Daemon::httpAddress() const
+{
+    return m_state->server.address();
+}
+
+DaemonBuilder &DaemonBuilder::withIncarnation(std::uint64_t incarnation)
+{
+    m_incarnation = incarnation;
+    return *this;
+}
+
+DaemonBuilder &DaemonBuilder::withSeed(std::uint64_t seed)
+{
+    m_seed = seed;
+    return *this;
+}
+
+DaemonBuilder &DaemonBuilder::whenStopped(std::function<void()> function)
+{
+    m_stopped = std::move(function);
+    return *this;
+}
+
+std::unique_ptr<Daemon> DaemonBuilder::build(boost::asio::io_context &io) const
+{
+    Node node;
+    node.settings = m_settings;
+    const auto wall = static_cast<std::uint64_t>(SystemClock().wallNow().time_since_epoch().count());
+    node.incarnation = m_incarnation != 0 ? m_incarnation : wall;
+    node.random.seed(m_seed != 0 ? m_seed : std::random_device()());
+    return std::unique_ptr<Daemon>(new Daemon(std::make_unique<Daemon::State>(io, std::move(node), m_stopped)));
+}
+
+} // namespace flamingotally
--- a/src/node_base.h
+++ b/src/node_base.h
@@ -312,6 +312,7 @@
     Settings settings;
     std::uint64_t incarnation = 0; ///< Of this process: rises over restarts.
     NodePhase phase = NodePhase::CatchingUp;
+    bool frontOpen = false; ///< The front still takes requests: a shutdown is not complete before it has closed.
     Tables tables; ///< Replicated.
     View view;
     Inbox inbox;
--- a/src/systems/lifecycle.cpp
+++ b/src/systems/lifecycle.cpp
@@ -28,7 +28,7 @@
 /** Tells whether nothing is left in hand. A log that does not answer holds the process no longer than the timeout. */
 bool isDone(const Node &node, const TickTime &time)
 {
-    const bool isIdle = node.waiters.size() == 0 && node.proposals.size() == 0 && !node.inFlight;
+    const bool isIdle = !node.frontOpen && node.waiters.size() == 0 && node.proposals.size() == 0 && !node.inFlight;
     return (isIdle && isMarkedLeaving(node)) || time.now >= node.drainingSince + node.settings.drainTimeout;
 }
 
--- a/tests/json_codec_test.cpp
+++ b/tests/json_codec_test.cpp
@@ -6,16 +6,6 @@
 
 using namespace flamingotally;
 
-namespace
-{
-
-std::string messageOf(const absl::Status &status)
-{
-    return std::string(status.message());
-}
-
-} // namespace
-
 class JsonCodecTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(JsonCodecTest);
