--- a/src/codec/worker_codec.cpp
+++ b/src/codec/worker_codec.cpp
@@ -215,7 +215,7 @@
 
 std::string encodeWorkerSync(const WorkerSync &sync)
 {
-    json::object object{{"bootId", sync.bootId}, {"acked", sync.ackedReport}, {"waitMs", sync.wait.count()}};
+    json::object object{{"bootId", sync.bootId}, {"acked", sync.ackedReport}, {"seen", sync.seenReport}, {"waitMs", sync.wait.count()}};
     setItems(object, "starts", toJsonArray(sync.starts));
     setItems(object, "stops", toJsonArray(sync.stops));
     json::array renewals;
@@ -232,6 +232,7 @@
         WorkerSync sync;
         sync.bootId = numberAt<std::uint64_t>(object, "bootId");
         sync.ackedReport = numberAt<std::uint64_t>(object, "acked");
+        sync.seenReport = numberAt<std::uint64_t>(object, "seen");
         sync.wait = Milliseconds{numberAt<std::int64_t>(object, "waitMs")};
         for (const auto &it : itemsOf(object, "starts")) {
             sync.starts.push_back(startOf(it));
--- a/standin/standin_base.h
+++ b/standin/standin_base.h
@@ -106,7 +106,6 @@
     WorkerSync sync;
     MonotonicTime until{};
     std::uint64_t bootId = 0; ///< Boot that took its orders; zero before.
-    std::uint64_t reportBefore = 0; ///< The worker's last report when it was taken.
     bool answerNow = false;
 };
 
--- a/standin/worker_system.cpp
+++ b/standin/worker_system.cpp
@@ -66,7 +66,6 @@
 {
     const auto &boot = standin.hosts.get<WorkerBoot>(poll.worker);
     poll.bootId = boot.bootId;
-    poll.reportBefore = boot.lastReport;
     const auto &sync = poll.sync;
     poll.answerNow = sync.bootId != boot.bootId || !sync.starts.empty() || !sync.stops.empty();
     if (sync.bootId == boot.bootId) {
@@ -91,7 +90,7 @@
         takePoll(standin, poll, time);
     }
     const auto &boot = standin.hosts.get<WorkerBoot>(poll.worker);
-    const bool hasNews = boot.lastReport > poll.reportBefore || boot.bootId != poll.bootId;
+    const bool hasNews = boot.lastReport > poll.sync.seenReport || boot.bootId != poll.bootId;
     if (!poll.answerNow && !hasNews && poll.until > time.now) {
         wakeAt(standin, poll.until);
         return;
