--- a/src/codec/worker_codec.cpp
+++ b/src/codec/worker_codec.cpp
@@ -215,7 +215,8 @@
 
 std::string encodeWorkerSync(const WorkerSync &sync)
 {
-    json::object object{{"bootId", sync.bootId}, {"acked", sync.ackedReport}, {"seen", sync.seenReport}, {"waitMs", sync.wait.count()}};
+    json::object object{
+        {"bootId", sync.bootId}, {"acked", sync.ackedReport}, {"seen", sync.seenReport}, {"waitMs", sync.wait.count()}};
     setItems(object, "starts", toJsonArray(sync.starts));
     setItems(object, "stops", toJsonArray(sync.stops));
     json::array renewals;
--- a/tests/fakes/cell.h
+++ b/tests/fakes/cell.h
@@ -17,8 +17,8 @@
 /** The profiles of every cell. */
 const std::vector<ProfileRow> &cellProfiles();
 
-constexpr std::array teamNames{"red", "green", "blue"}; ///< Each has a key under its own number from the start.
-constexpr std::int64_t ampleCores = 40; ///< Limit of every team at the start.
+inline constexpr std::array teamNames{"red", "green", "blue"}; ///< Each has a key under its own number from the start.
+inline constexpr std::int64_t ampleCores = 40; ///< Limit of every team at the start.
 
 /** A world that is set up for work. */
 class Cell
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,206 @@
+/** @file membership_test.cpp Heartbeats, the age of the view, and what the host list leads to. */
+#include "fakes/node_probe.h"
+#include "systems/freshness.h"
+#include "systems/systems.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace flamingotally;
+
+namespace
+{
+
+constexpr Milliseconds paused{60'000};
+
+/** A daemon "self" beside a daemon "other", and a worker. */
+struct MemberScene {
+    TableBuilder builder;
+    DomainRef domain = builder.domain("north");
+    WorkerRef worker = builder.worker(builder.rack("r1", domain), {64'000, 65'536, 0});
+    Node node;
+
+    MemberScene()
+    {
+        addDaemon(builder, "self", domain);
+        addDaemon(builder, "other", domain);
+        node = makeServingNode(builder, "self");
+    }
+
+    /** A heartbeat of "other" arrives that says that the log ended at an offset just now. */
+    void hear(Milliseconds sentAt, Milliseconds echoSentAt, Milliseconds arrivesAt, std::uint64_t head)
+    {
+        Heartbeat heartbeat;
+        heartbeat.daemon = "other";
+        heartbeat.incarnation = 1;
+        heartbeat.head = head;
+        heartbeat.sentAt = sentAt;
+        heartbeat.echoIncarnation = 1;
+        heartbeat.echoSentAt = (probeStart + echoSentAt).time_since_epoch();
+        node.inbox.heartbeats.push_back({heartbeat, probeStart + arrivesAt});
+    }
+
+    void list(std::vector<HostRow> hosts)
+    {
+        node.inbox.hostLists.push_back({std::move(hosts), false});
+    }
+
+    HostRow row(const std::string &name, HostRole role) const
+    {
+        return {name, name + ":1", "north", "r1", role, false};
+    }
+
+    void run(Milliseconds at)
+    {
+        membershipSystem(node, tickAt(at));
+    }
+};
+
+} // namespace
+
+class MembershipTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(MembershipTest);
+    CPPUNIT_TEST(peersProofKeepsTheViewFresh);
+    CPPUNIT_TEST(proofThatWaitedInASocketIsOld);
+    CPPUNIT_TEST(proofCountsOnceItIsAppliedUpTo);
+    CPPUNIT_TEST(echoOfAnotherProcessProvesNothing);
+    CPPUNIT_TEST(viewIsStaleAtTheFence);
+    CPPUNIT_TEST(failedReadsBackOff);
+    CPPUNIT_TEST(silentLogIsReadThroughThePeerThatIsFurthest);
+    CPPUNIT_TEST(emptyHostListIsNotBelieved);
+    CPPUNIT_TEST(leavingWorkerIsProposedOnce);
+    CPPUNIT_TEST(silentDaemonStaysWhileItsHostIsListed);
+    CPPUNIT_TEST(silentDaemonWithoutHostIsRemoved);
+    CPPUNIT_TEST(removedDaemonJoinsAnewAsANewIncarnation);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void peersProofKeepsTheViewFresh()
+    {
+        MemberScene scene;
+        scene.hear(Milliseconds{9'000}, Milliseconds{8'990}, Milliseconds{9'001}, 0);
+        scene.run(Milliseconds{9'001});
+        CPPUNIT_ASSERT(scene.node.view.fresh);
+        CPPUNIT_ASSERT(scene.node.view.freshAt == probeStart + Milliseconds{8'990});
+    }
+
+    void proofThatWaitedInASocketIsOld()
+    {
+        MemberScene scene;
+        scene.hear(Milliseconds{10}, Milliseconds{5}, paused, 0);
+        scene.run(paused);
+        CPPUNIT_ASSERT(!scene.node.view.fresh);
+        CPPUNIT_ASSERT(scene.node.view.freshAt <= probeStart + Milliseconds{5});
+    }
+
+    void proofCountsOnceItIsAppliedUpTo()
+    {
+        MemberScene scene;
+        scene.hear(Milliseconds{9'000}, Milliseconds{8'990}, Milliseconds{9'001}, 3);
+        scene.run(Milliseconds{9'001});
+        CPPUNIT_ASSERT(!scene.node.view.fresh);
+        scene.node.tables.position.nextOffset = 3;
+        judgeView(scene.node, tickAt(Milliseconds{9'010}));
+        CPPUNIT_ASSERT(scene.node.view.fresh);
+    }
+
+    void echoOfAnotherProcessProvesNothing()
+    {
+        MemberScene scene;
+        scene.hear(Milliseconds{9'000}, Milliseconds{8'990}, Milliseconds{9'001}, 0);
+        scene.node.inbox.heartbeats.back().heartbeat.echoIncarnation = 9;
+        scene.run(Milliseconds{9'001});
+        CPPUNIT_ASSERT(!scene.node.view.fresh);
+    }
+
+    void viewIsStaleAtTheFence()
+    {
+        MemberScene scene;
+        judgeView(scene.node, tickAt(scene.node.settings.fence - Milliseconds{1}));
+        CPPUNIT_ASSERT(scene.node.view.fresh);
+        judgeView(scene.node, tickAt(scene.node.settings.fence));
+        CPPUNIT_ASSERT(!scene.node.view.fresh);
+    }
+
+    void failedReadsBackOff()
+    {
+        MemberScene scene;
+        scene.node.view.reading = true;
+        LogRead read;
+        read.failed = true;
+        scene.node.inbox.logReads.push_back(read);
+        freshnessSystem(scene.node, tickAt(Milliseconds{1}));
+        CPPUNIT_ASSERT(!scene.node.outbox.readFrom);
+        CPPUNIT_ASSERT(scene.node.view.nextReadAt > probeStart + Milliseconds{1});
+        freshnessSystem(scene.node, tickAt(Milliseconds{2'000}));
+        CPPUNIT_ASSERT(scene.node.outbox.readFrom);
+    }
+
+    void silentLogIsReadThroughThePeerThatIsFurthest()
+    {
+        MemberScene scene;
+        scene.node.view.lastReadFailed = true;
+        hearPeer(scene.node, "other", probeStart, 5);
+        freshnessSystem(scene.node, tickAt(Milliseconds{1}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, scene.node.outbox.recordFetches.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("other:1"), scene.node.outbox.recordFetches[0].address);
+    }
+
+    void emptyHostListIsNotBelieved()
+    {
+        MemberScene scene;
+        scene.list({});
+        scene.run(Milliseconds{1});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, scene.node.proposals.size());
+    }
+
+    void leavingWorkerIsProposedOnce()
+    {
+        MemberScene scene;
+        auto leaving = scene.row("worker0", HostRole::Worker);
+        leaving.leaving = true;
+        for (const auto at : {Milliseconds{1}, Milliseconds{2}}) {
+            scene.list({leaving});
+            scene.run(at);
+        }
+        const auto changes = proposalsOf<SetWorkerService>(scene.node);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changes.size());
+        CPPUNIT_ASSERT(changes[0].service == WorkerService::Leaving);
+    }
+
+    void silentDaemonStaysWhileItsHostIsListed()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, removalsOfSilentDaemon(true));
+    }
+
+    void silentDaemonWithoutHostIsRemoved()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, removalsOfSilentDaemon(false));
+    }
+
+    void removedDaemonJoinsAnewAsANewIncarnation()
+    {
+        MemberScene scene;
+        scene.node.tables.daemons.erase(findRef(scene.node.tables.lookups.daemons, std::string("self")));
+        rebuildLookups(scene.node.tables);
+        scene.run(Milliseconds{1});
+        scene.run(Milliseconds{2});
+        const auto joins = proposalsOf<JoinDaemon>(scene.node);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, joins.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, joins[0].incarnation);
+    }
+
+private:
+    /** Proposals to remove a daemon that was never heard, after its host was listed or missing for long. */
+    static std::size_t removalsOfSilentDaemon(bool isListed)
+    {
+        MemberScene scene;
+        for (const auto at : {Milliseconds{1}, Milliseconds{30'000}}) {
+            scene.list({scene.row("self", HostRole::Entry), scene.row(isListed ? "other" : "third", HostRole::Entry)});
+            scene.run(at);
+        }
+        return proposalsOf<LeaveDaemon>(scene.node).size();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
--- a/tests/scheduling_test.cpp
+++ b/tests/scheduling_test.cpp
@@ -1,6 +1,5 @@
 /** @file scheduling_test.cpp Scheduling and housekeeping of one daemon over tables filled by hand. */
-#include "fakes/table_builder.h"
-#include "node_func.h"
+#include "fakes/node_probe.h"
 #include "systems/scheduling.h"
 #include "systems/systems.h"
 #include "systems/worker_health.h"
@@ -27,19 +26,6 @@
     return spec;
 }
 
-/** All commands of one kind that a node has proposed. */
-template<typename CommandT>
-std::vector<CommandT> proposalsOf(const Node &node)
-{
-    std::vector<CommandT> found;
-    node.proposals.forEach([&](ProposalRef it) {
-        if (const auto *command = std::get_if<CommandT>(&node.proposals.get<Proposal>(it).command)) {
-            found.push_back(*command);
-        }
-    });
-    return found;
-}
-
 } // namespace
 
 class SchedulingTest : public CppUnit::TestFixture
