Test the ports against the stand-in, and the encodings with damaged bytes

Thirteen tests over real sockets: batches read back, lost and refused appends, task runs and their ends, heartbeats and record fetches, forged ones included. Damaged messages of every kind are errors or messages, never more.

--- /dev/null
+++ b/tests/codec_fuzz_test.cpp
@@ -0,0 +1,186 @@
+/** @file codec_fuzz_test.cpp Encodings of messages: what goes in comes out, and wrong bytes make errors. */
+#include "codec/cereal_codec.h"
+#include "codec/log_codec.h"
+#include "codec/seal.h"
+#include "codec/worker_codec.h"
+#include "command_func.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace flamingotally;
+
+namespace
+{
+
+/** Changes some bytes of a message, or cuts it short. */
+std::string damage(std::string bytes)
+{
+    const auto flips = *rc::gen::inRange(0, 4);
+    for (int n = 0; n < flips && !bytes.empty(); ++n) {
+        bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+    }
+    if (*rc::gen::inRange(0, 3) == 0) {
+        bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
+    }
+    return bytes;
+}
+
+Batch sampleBatch()
+{
+    Batch batch;
+    batch.daemon = "a";
+    batch.sequence = 3;
+    batch.commands.emplace_back(LeaveDaemon{"b", 3, true});
+    SubmitJob submit;
+    submit.payload = "payload";
+    submit.placements.push_back({1, {2, 3}});
+    batch.commands.emplace_back(submit);
+    batch.commands.emplace_back(EndAttempts{{{7, Outcome::Succeeded, {"body", 4, 5, ""}}}});
+    return batch;
+}
+
+WorkerSync sampleSync()
+{
+    WorkerSync sync;
+    sync.bootId = UINT64_MAX;
+    sync.ackedReport = 4;
+    sync.wait = Milliseconds{3'000};
+    StartOrder start;
+    start.attempt = 9;
+    start.request = makeRequestId(WallTime{Milliseconds{1'796'000'000'000}}, 1, 2);
+    start.payload = "{\"text\":\"a\\nb\"}";
+    start.leaseUntil = WorkerTime{Milliseconds{12}};
+    sync.starts.push_back(start);
+    sync.renewals.push_back({5, WorkerTime{Milliseconds{6}}});
+    StopOrder stop;
+    stop.attempt = 8;
+    stop.cause = StopCause::Preempted;
+    stop.checkpoint = true;
+    sync.stops.push_back(stop);
+    return sync;
+}
+
+WorkerReport sampleReport()
+{
+    WorkerReport report;
+    report.worker = "w";
+    report.bootId = 17;
+    report.total = {1, 2, 3};
+    report.clock = WorkerTime{Milliseconds{-5}};
+    report.ends.push_back({2, {4, Outcome::Checkpointed, {"result", 6, UINT64_MAX, ""}}});
+    report.active = {1, 2};
+    report.usage.push_back({1, {4, 5, 6}});
+    return report;
+}
+
+} // namespace
+
+class CodecFuzzTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CodecFuzzTest);
+    CPPUNIT_TEST(syncIsReadBack);
+    CPPUNIT_TEST(reportIsReadBack);
+    CPPUNIT_TEST(hostsAreReadBack);
+    CPPUNIT_TEST(falseLengthIsRefused);
+    CPPUNIT_TEST(unknownEnumeratorIsRefused);
+    CPPUNIT_TEST(sealIsChecked);
+    CPPUNIT_TEST(damagedMessagesAreErrorsOrMessages);
+    CPPUNIT_TEST(damagedBatchesApplyOrAreRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void syncIsReadBack()
+    {
+        const auto text = encodeWorkerSync(sampleSync());
+        const auto read = decodeWorkerSync(text);
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT_EQUAL(text, encodeWorkerSync(*read));
+        CPPUNIT_ASSERT(read->starts.at(0).request == sampleSync().starts.at(0).request);
+        CPPUNIT_ASSERT(read->stops.at(0).cause == StopCause::Preempted);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{UINT64_MAX}, read->bootId);
+    }
+
+    void reportIsReadBack()
+    {
+        const auto text = encodeWorkerReport(sampleReport());
+        const auto read = decodeWorkerReport(text);
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT_EQUAL(text, encodeWorkerReport(*read));
+        CPPUNIT_ASSERT_EQUAL(std::string("result"), read->ends.at(0).end.result.body);
+        CPPUNIT_ASSERT(read->clock == sampleReport().clock);
+    }
+
+    void hostsAreReadBack()
+    {
+        HostRow row;
+        row.name = "h";
+        row.address = "127.0.0.1:1";
+        row.role = HostRole::Entry;
+        row.leaving = true;
+        const auto read = decodeHostList(encodeHostList({row}));
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT(read->at(0).role == HostRole::Entry);
+        CPPUNIT_ASSERT(read->at(0).leaving);
+    }
+
+    void falseLengthIsRefused()
+    {
+        auto bytes = encodeLogPage({1, 0, {}});
+        for (std::size_t n = bytes.size() - 8; n < bytes.size() - 2; ++n) {
+            bytes[n] = '\x7f';
+        }
+        CPPUNIT_ASSERT(!decodeLogPage(bytes).ok());
+    }
+
+    void unknownEnumeratorIsRefused()
+    {
+        Batch batch;
+        batch.commands.emplace_back(EndAttempts{{{7, Outcome::End, {}}}});
+        CPPUNIT_ASSERT(!decodeBatch(encodeBatch(batch)).ok());
+    }
+
+    void sealIsChecked()
+    {
+        const auto sealed = sealMessage("secret", PeerMessage::Heartbeat, "body");
+        CPPUNIT_ASSERT_EQUAL(std::string("body"),
+                             std::string(openMessage("secret", PeerMessage::Heartbeat, sealed).value_or("")));
+        CPPUNIT_ASSERT(!openMessage("other", PeerMessage::Heartbeat, sealed));
+        CPPUNIT_ASSERT(!openMessage("secret", PeerMessage::RecordPage, sealed));
+        const bool holds = rc::check("a damaged message does not open", [&sealed] {
+            const auto bytes = damage(sealed);
+            RC_PRE(bytes != sealed);
+            RC_ASSERT(!openMessage("secret", PeerMessage::Heartbeat, bytes));
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    void damagedMessagesAreErrorsOrMessages()
+    {
+        const bool holds = rc::check("damaged messages are errors or messages", [] {
+            const LogPage page{3, 1, {{1, {}, "first"}, {2, {}, "second"}}};
+            static_cast<void>(decodeLogPage(damage(encodeLogPage(page))));
+            static_cast<void>(decodeHeartbeat(damage(encodeHeartbeat({}))));
+            static_cast<void>(decodeRecordRequest(damage(encodeRecordRequest(7))));
+            static_cast<void>(decodeWorkerSync(damage(encodeWorkerSync(sampleSync()))));
+            static_cast<void>(decodeWorkerReport(damage(encodeWorkerReport(sampleReport()))));
+            static_cast<void>(decodeHostList(damage(encodeHostList({HostRow{}}))));
+            static_cast<void>(decodeTables(damage(encodeTables({}))));
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    void damagedBatchesApplyOrAreRefused()
+    {
+        const bool holds = rc::check("damaged batches apply or are refused", [] {
+            const auto batch = decodeBatch(damage(encodeBatch(sampleBatch())));
+            if (batch.ok()) {
+                Tables tables;
+                applyEntry(tables, {0, {}, *batch, EntryState::Readable});
+            }
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CodecFuzzTest);
--- /dev/null
+++ b/tests/port_test.cpp
@@ -0,0 +1,294 @@
+/** @file port_test.cpp A daemon's ports against the stand-in, over real sockets. */
+#include "codec/cereal_codec.h"
+#include "net/host_list_client.h"
+#include "net/log_client.h"
+#include "net/peer_channel.h"
+#include "net/tick_loop.h"
+#include "net/worker_client.h"
+#include "net_fixture.h"
+#include "standin_front.h"
+#include "standin_systems.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+
+using namespace flamingotally;
+
+namespace
+{
+
+constexpr std::size_t ringBytes = 1024 * 1024;
+
+/** The stand-in with one worker, and one daemon's ports. */
+struct PortWorld {
+    PortWorld()
+    {
+        CPPUNIT_ASSERT(platformServer.listen(anyLoopbackPort).ok());
+        CPPUNIT_ASSERT(workerServer.listen(anyLoopbackPort).ok());
+        standin.faults.appendLatency = Milliseconds{1};
+        HostRow row;
+        row.name = "worker-1";
+        row.address = workerServer.address();
+        row.domain = "north";
+        standin::addWorker(standin, row, {4'000, 1'024, 1}, {clock.now(), clock.wallNow()});
+        settings.logAddress = platformServer.address();
+        settings.hostListAddress = platformServer.address();
+        settings.clusterSecret = "secret";
+        loop.wake();
+    }
+
+    MonotonicTime runTick()
+    {
+        standin::tick(standin, {clock.now(), clock.wallNow()});
+        front.deliver();
+        return standin.nextWake;
+    }
+
+    template<typename Items>
+    void await(const Items &items)
+    {
+        runUntil(io, [&items] { return !items.empty(); });
+    }
+
+    AppendOutcome append(const Batch &batch)
+    {
+        log.append(batch);
+        await(inbox.appendAnswers);
+        const auto outcome = inbox.appendAnswers.front().outcome;
+        inbox.appendAnswers.clear();
+        return outcome;
+    }
+
+    LogRead read(std::uint64_t from)
+    {
+        log.readFrom(from);
+        await(inbox.logReads);
+        auto read = std::move(inbox.logReads.front());
+        inbox.logReads.clear();
+        return read;
+    }
+
+    WorkerReport sync(WorkerSync sync)
+    {
+        sync.worker = "worker-1";
+        sync.address = workerServer.address();
+        workers.sync(sync);
+        await(inbox.workerReports);
+        auto report = std::move(inbox.workerReports.front());
+        inbox.workerReports.clear();
+        return report;
+    }
+
+    boost::asio::io_context io{1};
+    SystemClock clock;
+    standin::Standin standin;
+    TickLoop loop{io, [this] {
+                      return runTick();
+                  }};
+    standin::StandinFront front{standin, [this] {
+                                    loop.wake();
+                                }};
+    HttpServer platformServer{io, {}, [this](HttpRequest request, const HttpResponder &responder) {
+                                  front.handlePlatform(std::move(request), responder);
+                              }};
+    HttpServer workerServer{io, {}, [this](HttpRequest request, const HttpResponder &responder) {
+                                front.handleWorker(0, std::move(request), responder);
+                            }};
+    HttpClient http{io};
+    Settings settings;
+    Inbox inbox;
+    Counters counters;
+    RecordRing records{ringBytes};
+    PortContext context{http, settings, inbox, counters, records, clock, [] {
+                        }};
+    HttpLogClient log{context};
+    HttpWorkerClient workers{context};
+    HttpHostList hosts{context};
+    AsioPeerChannel peers{io, context};
+};
+
+Batch someBatch(std::uint64_t sequence)
+{
+    Batch batch;
+    batch.daemon = "a";
+    batch.incarnation = 7;
+    batch.sequence = sequence;
+    batch.commands.emplace_back(LeaveDaemon{"b", 3, true});
+    return batch;
+}
+
+} // namespace
+
+class PortTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PortTest);
+    CPPUNIT_TEST(batchIsReadBack);
+    CPPUNIT_TEST(readWaitsForTheNextRecord);
+    CPPUNIT_TEST(lostAnswerIsUnknownAndStored);
+    CPPUNIT_TEST(refusedAppendIsRefused);
+    CPPUNIT_TEST(unreachableLogRefusesAndFails);
+    CPPUNIT_TEST(foreignRecordIsMalformed);
+    CPPUNIT_TEST(taskRunsAndItsEndIsReportedUntilAcknowledged);
+    CPPUNIT_TEST(reportOfAnotherWorkerIsNone);
+    CPPUNIT_TEST(hostsAreListed);
+    CPPUNIT_TEST(heartbeatArrives);
+    CPPUNIT_TEST(forgedHeartbeatIsCounted);
+    CPPUNIT_TEST(recordsAreFetchedFromAPeer);
+    CPPUNIT_TEST(forgedFetchGetsNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_world = std::make_unique<PortWorld>();
+    }
+
+    void tearDown() override
+    {
+        m_world.reset();
+    }
+
+    void batchIsReadBack()
+    {
+        CPPUNIT_ASSERT(m_world->append(someBatch(1)) == AppendOutcome::Stored);
+        const auto read = m_world->read(0);
+        CPPUNIT_ASSERT(!read.failed);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, read.head);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read.entries.size());
+        const auto &entry = read.entries.front();
+        CPPUNIT_ASSERT(entry.state == EntryState::Readable);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, entry.batch.incarnation);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), std::get<LeaveDaemon>(entry.batch.commands.at(0)).name);
+    }
+
+    void readWaitsForTheNextRecord()
+    {
+        m_world->settings.logPoll = Milliseconds{60'000};
+        m_world->log.readFrom(0);
+        CPPUNIT_ASSERT(m_world->append(someBatch(1)) == AppendOutcome::Stored);
+        m_world->await(m_world->inbox.logReads);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_world->inbox.logReads.front().entries.size());
+    }
+
+    void lostAnswerIsUnknownAndStored()
+    {
+        m_world->standin.faults.loseAppendAnswers = 1;
+        CPPUNIT_ASSERT(m_world->append(someBatch(1)) == AppendOutcome::Unknown);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_world->read(0).entries.size());
+    }
+
+    void refusedAppendIsRefused()
+    {
+        m_world->standin.faults.logOutage = standin::LogOutage::Refusing;
+        CPPUNIT_ASSERT(m_world->append(someBatch(1)) == AppendOutcome::Refused);
+        CPPUNIT_ASSERT(m_world->read(0).failed);
+    }
+
+    void unreachableLogRefusesAndFails()
+    {
+        m_world->platformServer.close();
+        CPPUNIT_ASSERT(m_world->append(someBatch(1)) == AppendOutcome::Refused);
+        CPPUNIT_ASSERT(m_world->read(0).failed);
+    }
+
+    void foreignRecordIsMalformed()
+    {
+        m_world->standin.log.records.push_back({0, LogTime{m_world->clock.wallNow().time_since_epoch()}, "no batch"});
+        m_world->standin.log.head = 1;
+        const auto read = m_world->read(0);
+        CPPUNIT_ASSERT(read.entries.at(0).state == EntryState::Malformed);
+    }
+
+    void taskRunsAndItsEndIsReportedUntilAcknowledged()
+    {
+        const auto first = m_world->sync({});
+        WorkerSync order;
+        order.bootId = first.bootId;
+        order.starts.push_back({.attempt = 5,
+                                .request = makeRequestId(m_world->clock.wallNow(), 1, 2),
+                                .held = {1'000, 10, 0},
+                                .payload = R"({"runMs":0,"result":"whole"})",
+                                .notAfter = first.clock + Milliseconds{60'000},
+                                .leaseUntil = first.clock + Milliseconds{60'000}});
+        m_world->sync(order);
+        WorkerSync poll;
+        poll.bootId = first.bootId;
+        const auto report = m_world->sync(poll);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, report.ends.size());
+        CPPUNIT_ASSERT(report.ends.front().end.outcome == Outcome::Succeeded);
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), report.ends.front().end.result.body);
+        m_world->sync(order);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_world->standin.journal.size());
+        poll.ackedReport = report.ends.front().report;
+        CPPUNIT_ASSERT(m_world->sync(poll).ends.empty());
+    }
+
+    void reportOfAnotherWorkerIsNone()
+    {
+        m_world->standin.hosts.get<HostRow>(m_world->standin.workers.front()).name = "other";
+        const auto report = m_world->sync({});
+        CPPUNIT_ASSERT(report.failed);
+        CPPUNIT_ASSERT_EQUAL(std::string("worker-1"), report.worker);
+    }
+
+    void hostsAreListed()
+    {
+        m_world->hosts.readHosts();
+        m_world->await(m_world->inbox.hostLists);
+        const auto &hosts = m_world->inbox.hostLists.front().hosts;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hosts.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("north"), hosts.front().domain);
+    }
+
+    void heartbeatArrives()
+    {
+        CPPUNIT_ASSERT(m_world->peers.listen(anyLoopbackPort).ok());
+        Heartbeat heartbeat;
+        heartbeat.daemon = "a";
+        heartbeat.head = 42;
+        m_world->peers.sendHeartbeat(m_world->peers.address(), heartbeat);
+        m_world->await(m_world->inbox.heartbeats);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{42}, m_world->inbox.heartbeats.front().heartbeat.head);
+    }
+
+    void forgedHeartbeatIsCounted()
+    {
+        using boost::asio::ip::udp;
+        CPPUNIT_ASSERT(m_world->peers.listen(anyLoopbackPort).ok());
+        udp::socket socket(m_world->io, udp::v4());
+        const auto target = *parseEndpoint<udp::endpoint>(m_world->peers.address());
+        const auto forged = std::string(32, 'x') + encodeHeartbeat({});
+        socket.send_to(boost::asio::buffer(forged), target);
+        runUntil(m_world->io, [this] { return m_world->counters.heartbeatsDropped == 1; });
+        CPPUNIT_ASSERT(m_world->inbox.heartbeats.empty());
+    }
+
+    void recordsAreFetchedFromAPeer()
+    {
+        CPPUNIT_ASSERT(m_world->peers.listen(anyLoopbackPort).ok());
+        m_world->append(someBatch(1));
+        m_world->append(someBatch(2));
+        m_world->read(0);
+        m_world->peers.fetchRecords(m_world->peers.address(), 1);
+        m_world->await(m_world->inbox.peerReads);
+        const auto &entries = m_world->inbox.peerReads.front().entries;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, entries.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, entries.front().batch.sequence);
+    }
+
+    void forgedFetchGetsNothing()
+    {
+        CPPUNIT_ASSERT(m_world->peers.listen(anyLoopbackPort).ok());
+        RawCaller caller(m_world->io, m_world->peers.address());
+        caller.send(std::string("\0\0\0\x40", 4) + std::string(64, 'x'));
+        CPPUNIT_ASSERT(caller.readToEnd().empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_world->counters.heartbeatsDropped);
+    }
+
+private:
+    std::unique_ptr<PortWorld> m_world;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PortTest);
