Believe a host list only when it was read, and let others speak for a cut-off owner

The fuzzer started work on a leaving worker whose domain was back from a cut from the platform. Two causes: only the owner of a worker proposed its leaving mark, and an owner without the platform cannot; and a failed read of the list made the old list count as new, so that the owner took the mark back. Now any daemon that reads the log proposes for an owner that does not, and only a list that was read is compared with the tables.

--- a/src/systems/host_list.cpp
+++ b/src/systems/host_list.cpp
@@ -21,6 +21,7 @@
     node.hosts = std::move(read.hosts);
     std::ranges::sort(node.hosts, {}, &HostRow::name);
     node.hostsHeardAt = time.now;
+    node.hostsChecked = false;
 }
 
 /** Notes since when hosts that the tables know are missing on the list. */
@@ -48,6 +49,21 @@
     }
 }
 
+/**
+ * Tells whether this daemon proposes what the list says of a worker: as its owner, or because its owner cannot reach
+ * the platform and so knows neither the list nor a way to say so.
+ */
+bool speaksFor(const Node &node, WorkerRef worker, const TickTime &time)
+{
+    const auto owner = ownerOf(node, worker, time);
+    const auto self = selfRef(node);
+    if (!owner.isSet() || owner == self) {
+        return owner == self;
+    }
+    const auto peer = findRef(node.peerByName, node.tables.daemons.get<DaemonIdentity>(owner).name);
+    return node.peers.contains(peer) && !node.peers.get<Peer>(peer).readsLog && !node.view.lastReadFailed;
+}
+
 void proposeForWorker(Node &node, WorkerRef worker, const TickTime &time)
 {
     const auto &name = node.tables.workers.get<WorkerIdentity>(worker).name;
@@ -57,7 +73,7 @@
     const bool isLeaving = service == WorkerService::Leaving;
     const bool isEmpty = node.tables.workers.get<WorkerRoom>(worker).attempts == 0;
     const bool mayRemove = isLeaving && isEmpty && isGone(node, name, time);
-    if ((shouldLeave == isLeaving && !mayRemove) || !ownsWorker(node, worker, time)) {
+    if ((shouldLeave == isLeaving && !mayRemove) || !speaksFor(node, worker, time)) {
         return;
     }
     if (mayRemove) {
@@ -104,10 +120,7 @@
     for (auto &it : node.inbox.hostLists) {
         takeHostList(node, std::move(it), time);
     }
-    if (!node.inbox.hostLists.empty()) {
-        node.inbox.hostLists.clear();
-        node.hostsChecked = false;
-    }
+    node.inbox.hostLists.clear();
     if (node.hostsReadAt == MonotonicTime{} || time.now >= node.hostsReadAt + node.settings.hostListInterval) {
         node.outbox.readHosts = true;
         node.hostsReadAt = time.now;
