--- /dev/null
+++ b/bench/end_to_end.cpp
@@ -0,0 +1,251 @@
+/**
+ * @file end_to_end.cpp Submits single tasks to a running cell at a steady rate and measures from the request to the
+ * start on a worker, by the stand-in's journal. All processes run on one machine, so its monotonic clock is shared.
+ */
+#include "net/clock.h"
+#include "net/http_client.h"
+#include "request_type.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_split.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+
+namespace
+{
+
+using namespace flamingotally;
+namespace json = boost::json;
+namespace po = boost::program_options;
+
+/** What the command line says. */
+struct Options {
+    std::vector<std::string> servers;
+    std::string platform;
+    std::string key;
+    std::string profile;
+    double rate = 0;
+    int seconds = 0;
+    int runMs = 0;
+};
+
+/** Times of one submission by the monotonic clock. */
+struct Submission {
+    MonotonicTime sentAt{};
+    MonotonicTime answeredAt{};
+    unsigned status = 0; ///< Zero when no answer came.
+    MonotonicTime startedAt{};
+    int starts = 0;
+};
+
+/** Submits and counts. */
+class Load
+{
+public:
+    Load(boost::asio::io_context &io, Options options)
+        : m_options(std::move(options)), m_http(io), m_timer(io), m_startedAt(m_clock.now())
+    {
+        m_total = static_cast<std::size_t>(m_options.rate * m_options.seconds);
+        sendDue();
+    }
+
+    bool isDone() const
+    {
+        return m_sent == m_total && m_answered == m_total;
+    }
+
+    HttpClient &http()
+    {
+        return m_http;
+    }
+
+    absl::flat_hash_map<std::string, Submission> submissions; ///< By id.
+
+private:
+    /** Sends what is due, each by its own time, whatever became of those before. */
+    void sendDue()
+    {
+        const auto elapsed = m_clock.now() - m_startedAt;
+        const auto due = static_cast<std::size_t>(static_cast<double>(elapsed.count()) * m_options.rate / 1'000) + 1;
+        while (m_sent < std::min(due, m_total)) {
+            sendOne();
+        }
+        if (m_sent == m_total) {
+            return;
+        }
+        m_timer.expires_after(Milliseconds{1});
+        m_timer.async_wait([this](const boost::system::error_code &) { sendDue(); });
+    }
+
+    void sendOne()
+    {
+        const auto id = toString(makeRequestId(m_clock.wallNow(), m_random(), m_random()));
+        json::object body{{"profile", m_options.profile},
+                          {"resources", json::object{{"cpuMilli", 100}, {"memoryMb", 64}}},
+                          {"payload", fmt::format(R"({{"runMs":{}}})", m_options.runMs)}};
+        HttpCall call;
+        call.address = m_options.servers[m_sent % m_options.servers.size()];
+        call.method = HttpMethod::Post;
+        call.target = "/v1/jobs";
+        call.fields = {{"Authorization", "Bearer " + m_options.key}, {"Idempotency-Key", id}};
+        call.body = json::serialize(body);
+        call.timeout = Milliseconds{15'000};
+        ++m_sent;
+        submissions[id].sentAt = m_clock.now();
+        m_http.send(std::move(call), [this, id](const HttpResult &result) {
+            auto &it = submissions[id];
+            it.answeredAt = m_clock.now();
+            it.status = result.ok() ? result->status : 0;
+            if (!result.ok() || result->status >= 300) {
+                m_lastError = result.ok() ? result->body : std::string(result.status().message());
+            }
+            ++m_answered;
+        });
+    }
+
+public:
+    std::string m_lastError; ///< Text of the last answer that was not a success.
+
+private:
+    Options m_options;
+    SystemClock m_clock;
+    HttpClient m_http;
+    boost::asio::steady_timer m_timer;
+    std::mt19937_64 m_random{std::random_device{}()};
+    MonotonicTime m_startedAt;
+    std::size_t m_total = 0;
+    std::size_t m_sent = 0;
+    std::size_t m_answered = 0;
+};
+
+/** Reads the journal once it has as many runs as submissions were accepted, or has not grown for a while. */
+json::array readJournal(boost::asio::io_context &io, HttpClient &http, const std::string &platform)
+{
+    std::optional<HttpResult> result;
+    HttpCall call;
+    call.address = platform;
+    call.target = "/v1/journal";
+    call.timeout = Milliseconds{30'000};
+    call.maxResponseBytes = std::size_t{512} * 1024 * 1024;
+    http.send(call, [&result](HttpResult arrived) { result = std::move(arrived); });
+    io.restart();
+    while (!result) {
+        io.run_one();
+    }
+    if (!result->ok()) {
+        return {};
+    }
+    return json::parse((*result)->body).as_object().at("runs").as_array();
+}
+
+void joinJournal(Load &load, const json::array &runs)
+{
+    for (const auto &it : runs) {
+        const auto &run = it.as_object();
+        const auto found = load.submissions.find(std::string(run.at("request").as_string()));
+        if (found != load.submissions.end()) {
+            found->second.startedAt = MonotonicTime{Milliseconds{run.at("startedAt").as_int64()}};
+            ++found->second.starts;
+        }
+    }
+}
+
+std::string quantiles(std::vector<std::int64_t> values)
+{
+    if (values.empty()) {
+        return "none";
+    }
+    std::ranges::sort(values);
+    const auto at = [&values](double part) {
+        return values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1))];
+    };
+    return fmt::format("p50 {} ms, p99 {} ms, max {} ms", at(0.5), at(0.99), values.back());
+}
+
+int report(const Load &load, int seconds)
+{
+    std::vector<std::int64_t> toAnswer;
+    std::vector<std::int64_t> toStart;
+    std::size_t accepted = 0;
+    std::size_t repeated = 0;
+    for (const auto &[id, it] : load.submissions) {
+        if (it.status >= 200 && it.status < 300) {
+            ++accepted;
+            toAnswer.push_back((it.answeredAt - it.sentAt).count());
+        }
+        if (it.starts > 0) {
+            toStart.push_back((it.startedAt - it.sentAt).count());
+        }
+        repeated += it.starts > 1 ? 1 : 0;
+    }
+    fmt::print("submitted {}, accepted {}, started {}, started more than once {}\n",
+               load.submissions.size(),
+               accepted,
+               toStart.size(),
+               repeated);
+    fmt::print("starts a second {:.1f}\n", static_cast<double>(toStart.size()) / seconds);
+    fmt::print("request to answer: {}\n", quantiles(std::move(toAnswer)));
+    fmt::print("request to start: {}\n", quantiles(std::move(toStart)));
+    if (!load.m_lastError.empty()) {
+        fmt::print("last error: {}\n", load.m_lastError);
+    }
+    return repeated == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+int run(const Options &options)
+{
+    boost::asio::io_context io(1);
+    Load load(io, options);
+    while (!load.isDone()) {
+        io.run_one();
+    }
+    constexpr Milliseconds settle{2'000}; // for starts of what was accepted last
+    boost::asio::steady_timer timer(io, settle);
+    bool settled = false;
+    timer.async_wait([&settled](const boost::system::error_code &) { settled = true; });
+    while (!settled) {
+        io.run_one();
+    }
+    joinJournal(load, readJournal(io, load.http(), options.platform));
+    return report(load, options.seconds);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    Options options;
+    std::string servers;
+    po::options_description all("end_to_end: submits single tasks to a running cell and measures");
+    auto add = all.add_options();
+    add("help,h", "print this text");
+    add("servers", po::value(&servers)->required(), "IP:port of the daemons, with commas");
+    add("platform", po::value(&options.platform)->required(), "IP:port of the stand-in");
+    add("key", po::value(&options.key)->required(), "key of a team");
+    add("profile", po::value(&options.profile)->default_value("bench"), "profile of the tasks");
+    add("rate", po::value(&options.rate)->default_value(87), "submissions a second");
+    add("seconds", po::value(&options.seconds)->default_value(10), "length of the load");
+    add("run-ms", po::value(&options.runMs)->default_value(100), "run time of a task");
+    try {
+        po::variables_map values;
+        po::store(po::parse_command_line(argc, argv, all), values);
+        if (values.count("help") > 0) {
+            std::cout << all;
+            return EXIT_SUCCESS;
+        }
+        po::notify(values);
+    } catch (const po::error &error) {
+        fmt::print(stderr, "end_to_end: {}\n", error.what());
+        return EXIT_FAILURE;
+    }
+    options.servers = absl::StrSplit(servers, ',', absl::SkipEmpty());
+    return run(options);
+}
