Read the host list conditionally

Every daemon reads the platform's host list each second; at 690 workers that is some 70 KB of JSON each time, against a budget of 5 KB a second. The client names the entity tag of the list it has, and an unchanged list is answered with 304 and no body.

--- a/standin/standin_front.cpp
+++ b/standin/standin_front.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/worker_codec.h"
 #include "net/http_error.h"
+#include "net/http_etag.h"
 #include "standin_codec.h"
 
 #include <charconv>
@@ -61,7 +62,7 @@
             responder(errorResponse(read.status()));
         }
     } else if (isAt(request, HttpMethod::Get, "/v1/hosts")) {
-        accept(HostsRequest{}, responder);
+        accept(HostsRequest{}, withEntityTag(request, responder));
     } else if (isAt(request, HttpMethod::Get, "/v1/journal")) {
         accept(JournalRequest{}, responder);
     } else if (isAt(request, HttpMethod::Post, "/v1/faults")) {
