--- a/src/net/http_etag.cpp
+++ b/src/net/http_etag.cpp
@@ -32,4 +32,4 @@
     };
 }
 
-}
+} // namespace flamingotally
--- a/src/net/http_etag.h
+++ b/src/net/http_etag.h
@@ -16,4 +16,4 @@
  */
 HttpResponder withEntityTag(const HttpRequest &request, HttpResponder responder);
 
-}
+} // namespace flamingotally
