--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,7 +13,11 @@
 SUBMITTED=0 SUCCEEDED=0 REFUSED=0 WAITED=0
 
 stop_all() {
-    for name in "${!PIDS[@]}"; do kill "${PIDS[$name]}" 2>/dev/null || true; done
+    for name in north south west standin; do # The stand-in last: daemons tell the log that they leave.
+        [ -n "${PIDS[$name]:-}" ] || continue
+        kill "${PIDS[$name]}" 2>/dev/null || true
+        [ "$name" != west ] || wait "${PIDS[north]}" "${PIDS[south]}" "${PIDS[west]}" 2>/dev/null || true
+    done
     wait 2>/dev/null || true
     rm -rf "$WORK"
 }
@@ -149,10 +153,10 @@
 check "work goes on elsewhere" [ "$(awk '$2 == "placed"' "$WORK/out-of-south" | wc -l)" -gt 0 ]
 operator domain list
 operator domain in south --wait-everywhere
-batch=$(SERVER=${SERVERS[1]} as 'key of association' submit --profile preview --count 12 --cpu-milli 2000 --memory-mb 1024 \
-    --payload '{"runMs":2500}' | field id)
+spread=$(as 'key of gilded-vane' submit --profile patina --count 6 --cpu-milli 1000 --memory-mb 512 \
+    --payload '{"service":true}' | field id)
 sleep 1.5
-check "south takes work again" [ "$(as 'key of association' status "$batch" | awk '$5 == "south"' | wc -l)" -gt 0 ]
+check "south takes work again" [ "$(as 'key of gilded-vane' status "$spread" | awk '$5 == "south"' | wc -l)" -gt 0 ]
 
 say "A planned stop of one daemon under load"
 : >"$WORK/stop.codes"
