Measure policies over the daemons' real systems under a virtual clock

The fake worker now keeps the run time of a checkpointed task, so that preemption costs no work done twice.

--- /dev/null
+++ b/bench/figures.h
@@ -0,0 +1,219 @@
+/** @file figures.h The five measures, worked out from what an outsider saw of a world. */
+#pragma once
+
+#include "bench/workload.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <set>
+
+namespace flamingotally::bench
+{
+
+/** A job that was sent in. */
+struct Arrival {
+    std::size_t workClass = 0;
+    std::size_t team = 0;
+    std::uint32_t count = 0;
+    Resources perTask;
+    Milliseconds runTime{0}; ///< Of each task; below zero without end.
+    Milliseconds sentAt{0};
+    std::size_t call = 0; ///< Place in the journal.
+};
+
+using Arrivals = absl::flat_hash_map<RequestId, Arrival>;
+
+/** A span of virtual time. */
+struct Span {
+    Milliseconds from{0};
+    Milliseconds to{0};
+
+    double seconds() const
+    {
+        return static_cast<double>((to - from).count()) / 1'000.0;
+    }
+};
+
+/** Waiting time of one profile. */
+struct WaitFigures {
+    std::size_t tasks = 0;
+    std::size_t unstarted = 0; ///< Among them; they count with what they have waited so far.
+    std::size_t refused = 0; ///< Refused, and so not among them.
+    double p50 = 0.0; ///< Milliseconds.
+    double p99 = 0.0; ///< Milliseconds.
+};
+
+/** Amounts over time, in units of resource and seconds. */
+struct Amount {
+    double cpu = 0.0;
+    double memory = 0.0;
+    double accelerators = 0.0;
+
+    void add(const Resources &amount, double seconds)
+    {
+        cpu += static_cast<double>(amount.cpuMilli) * seconds;
+        memory += static_cast<double>(amount.memoryMb) * seconds;
+        accelerators += static_cast<double>(amount.accelerators) * seconds;
+    }
+
+    /** Largest part of a whole. */
+    double dominantOf(const Amount &whole) const
+    {
+        return std::max({cpu / whole.cpu, memory / whole.memory, accelerators / whole.accelerators});
+    }
+};
+
+inline double quantile(std::vector<double> &values, double part)
+{
+    if (values.empty()) {
+        return 0.0;
+    }
+    std::ranges::sort(values);
+    const auto place = static_cast<std::size_t>(part * static_cast<double>(values.size()));
+    return values[std::min(place, values.size() - 1)];
+}
+
+/** Seconds of a run within a span. */
+inline double overlap(const fakes::Run &run, const Span &span)
+{
+    const auto end = run.endedAt == fakes::notYet ? span.to : std::min(run.endedAt, span.to);
+    const auto begin = std::max(run.startedAt, span.from);
+    return end > begin ? static_cast<double>((end - begin).count()) / 1'000.0 : 0.0;
+}
+
+/** What runs hold over a span, all of them or those of one team. */
+inline Amount usedIn(const fakes::Journal &journal,
+                     const Arrivals &arrivals,
+                     const Span &span,
+                     std::optional<std::size_t> team = std::nullopt)
+{
+    Amount used;
+    for (const auto &run : journal.runs) {
+        const auto found = arrivals.find(run.request);
+        if (found != arrivals.end() && (!team || found->second.team == *team)) {
+            used.add(run.held, overlap(run, span));
+        }
+    }
+    return used;
+}
+
+/**
+ * Most that could run in a span of what was sent in by its end: each task for what it had left, but no longer than
+ * it was there. All teams, or one.
+ */
+inline Amount askedIn(const fakes::Journal &journal,
+                      const Arrivals &arrivals,
+                      const Span &span,
+                      std::optional<std::size_t> team = std::nullopt)
+{
+    absl::flat_hash_map<RequestId, double> doneBefore;
+    for (const auto &run : journal.runs) {
+        doneBefore[run.request] += overlap(run, {Milliseconds{0}, span.from});
+    }
+    Amount asked;
+    for (const auto &[request, arrival] : arrivals) {
+        const auto &call = journal.calls[arrival.call];
+        const bool isRefused = call.state == fakes::CallState::Answered && call.answer.reason != Reason::None;
+        if (arrival.sentAt >= span.to || isRefused || (team && arrival.team != *team)) {
+            continue;
+        }
+        const Span there{std::max(arrival.sentAt, span.from), span.to};
+        double seconds = there.seconds() * arrival.count;
+        if (arrival.runTime >= Milliseconds{0}) {
+            const double whole = static_cast<double>(arrival.runTime.count()) * arrival.count / 1'000.0;
+            seconds = std::clamp(whole - doneBefore[request], 0.0, seconds);
+        }
+        asked.add(arrival.perTask, seconds);
+    }
+    return asked;
+}
+
+/** What a cell offers over a span, with so many of its failure domains. */
+inline Amount offeredBy(const fakes::WorldLayout &layout, const Span &span, std::size_t domains)
+{
+    Amount offered;
+    for (std::size_t n = 0; n < domains * layout.workersPerDomain; ++n) {
+        const bool hasAccelerators = n % layout.acceleratorEvery == layout.acceleratorEvery - 1;
+        offered.add(hasAccelerators ? layout.acceleratorWorkerTotal : layout.workerTotal, span.seconds());
+    }
+    return offered;
+}
+
+/** Waiting times of the tasks of one profile that were sent within a span. */
+inline WaitFigures waitsOf(const fakes::Journal &journal, const Arrivals &arrivals, std::size_t workClass, Span span)
+{
+    absl::flat_hash_map<RequestId, std::vector<double>> firstStarts;
+    for (const auto &run : journal.runs) {
+        const auto found = arrivals.find(run.request);
+        if (found == arrivals.end() || found->second.workClass != workClass) {
+            continue;
+        }
+        auto &starts = firstStarts[run.request];
+        starts.resize(found->second.count, -1.0);
+        if (auto &start = starts[run.ordinal]; start < 0.0) {
+            start = static_cast<double>((run.startedAt - found->second.sentAt).count());
+        }
+    }
+    WaitFigures figures;
+    std::vector<double> waits;
+    for (const auto &[request, arrival] : arrivals) {
+        if (arrival.workClass != workClass || arrival.sentAt < span.from || arrival.sentAt >= span.to) {
+            continue;
+        }
+        const auto &call = journal.calls[arrival.call];
+        if (call.state == fakes::CallState::Answered && call.answer.reason != Reason::None) {
+            figures.refused += arrival.count;
+            continue;
+        }
+        const auto starts = firstStarts.find(request);
+        for (std::uint32_t n = 0; n < arrival.count; ++n) {
+            const bool hasStarted = starts != firstStarts.end() && starts->second[n] >= 0.0;
+            figures.unstarted += hasStarted ? 0 : 1;
+            waits.push_back(hasStarted ? starts->second[n] : static_cast<double>((span.to - arrival.sentAt).count()));
+        }
+    }
+    figures.tasks = waits.size();
+    figures.p50 = quantile(waits, 0.5);
+    figures.p99 = quantile(waits, 0.99);
+    return figures;
+}
+
+/** What a team got and what its share entitles it to, as dominant parts of the cell. */
+struct ShareFigures {
+    double got = 0.0;
+    double entitled = 0.0;
+};
+
+/**
+ * Divides by weight what all teams together got; a team that asks for less leaves the rest to the others.
+ * @param got Dominant part of each team.
+ * @param asked What each team asks for, as a dominant part.
+ */
+inline std::vector<ShareFigures> divideByShare(const std::vector<double> &got,
+                                               const std::vector<double> &asked,
+                                               const std::vector<std::uint32_t> &shares)
+{
+    double total = 0.0;
+    for (const auto it : got) {
+        total += it;
+    }
+    double low = 0.0;
+    double high = 1.0;
+    constexpr int halvings = 60;
+    for (int n = 0; n < halvings; ++n) {
+        const double level = (low + high) / 2.0;
+        double sum = 0.0;
+        for (std::size_t team = 0; team < got.size(); ++team) {
+            sum += std::min(asked[team], level * shares[team]);
+        }
+        (sum < total ? low : high) = level;
+    }
+    std::vector<ShareFigures> figures;
+    for (std::size_t team = 0; team < got.size(); ++team) {
+        figures.push_back({got[team], std::min(asked[team], high * shares[team])});
+    }
+    return figures;
+}
+
+} // namespace flamingotally::bench
--- /dev/null
+++ b/bench/measure.cpp
@@ -0,0 +1,407 @@
+/**
+ * @file measure.cpp Runs a workload through the daemons' real tables and systems over fakes under a virtual clock, and
+ * prints the five measures. It models no network, no power and nothing inside a host.
+ */
+#include "bench/figures.h"
+#include "table/policy_table.h"
+
+#include <boost/program_options.hpp>
+
+#include <cmath>
+#include <cstdio>
+#include <ctime>
+
+using namespace flamingotally;
+using namespace flamingotally::bench;
+
+namespace
+{
+
+constexpr Milliseconds starting{5'000};
+constexpr Milliseconds configuring{1'000};
+constexpr Milliseconds domainAbsence{20'000};
+constexpr Milliseconds domainReturn{10'000}; ///< By then a returned domain is to be full again.
+constexpr Milliseconds leavingTime{5'000}; ///< While work may still move out of a domain.
+constexpr std::uint32_t servicesPerJob = 50;
+constexpr std::uint32_t queueLimit = 4'000;
+constexpr std::int64_t milli = 1'000;
+constexpr std::int64_t mbPerGb = 1'024;
+
+/** What to run. */
+struct Options {
+    std::string workload;
+    PolicyKind policy = PolicyKind::Share;
+    double load = 1.0; ///< Times the full load.
+    bool domainOut = false;
+    std::string csv;
+    std::int64_t appendMs = 10;
+};
+
+/** One run. */
+class Measurement
+{
+public:
+    Measurement(const Options &options, Workload workload)
+        : m_options(options), m_workload(std::move(workload)), m_world(m_workload.layout),
+          m_random(m_workload.layout.seed)
+    {
+        m_world.log.faults.appendLatency = Milliseconds{options.appendMs};
+        m_world.runFor(starting);
+        configure();
+        m_world.runFor(configuring);
+        submitServices();
+        startArrivals();
+    }
+
+    void run()
+    {
+        m_world.runFor(m_workload.warmUp);
+        m_before = costs();
+        m_window.from = m_world.now();
+        if (m_options.domainOut) {
+            runDomainAbsence();
+        } else {
+            m_world.runFor(m_workload.measured);
+        }
+        m_window.to = m_world.now();
+        m_after = costs();
+    }
+
+    void print() const
+    {
+        printWaits();
+        printPacking();
+        printShares();
+        printCosts();
+        if (m_options.domainOut) {
+            printAbsence();
+        }
+    }
+
+private:
+    /** What control has cost since the start. */
+    struct Costs {
+        std::uint64_t messages = 0;
+        std::uint64_t appends = 0;
+        std::uint64_t bytes = 0;
+        std::uint64_t ticks = 0;
+        std::uint64_t starts = 0;
+        std::uint64_t rejections = 0;
+        double cpuSeconds = 0.0;
+    };
+
+    /** Where arrivals of one class from one team come from. */
+    struct Source {
+        std::size_t workClass = 0;
+        std::size_t team = 0;
+        double perSecond = 0.0;
+    };
+
+    void change(Command command)
+    {
+        m_world.call(0, fakes::operatorKey(), ConfigAction{std::move(command)});
+    }
+
+    void configure()
+    {
+        const Span second{Milliseconds{0}, Milliseconds{milli}};
+        const auto whole = offeredBy(m_workload.layout, second, m_workload.layout.domains);
+        for (std::size_t n = 0; n < m_workload.shares.size(); ++n) {
+            SetTeam team;
+            team.name = fmt::format("team-{}", n);
+            team.policy.share = m_workload.shares[n];
+            team.policy.queueLimit = queueLimit;
+            team.policy.limit = {static_cast<std::int64_t>(whole.cpu),
+                                 static_cast<std::int64_t>(whole.memory),
+                                 static_cast<std::int64_t>(whole.accelerators)};
+            change(team);
+        }
+        m_world.runFor(configuring);
+        for (std::size_t n = 0; n < m_workload.shares.size(); ++n) {
+            const auto name = fmt::format("team-{}", n);
+            change(GrantKey{{}, name, fakes::testKey(static_cast<std::uint8_t>(n)), name, KeyRole::Submitter});
+        }
+        for (const auto &it : m_workload.classes) {
+            PublishProfile publish;
+            publish.name = it.name;
+            publish.spec = it.spec;
+            change(publish);
+        }
+    }
+
+    void submit(std::size_t workClass, std::size_t team, std::uint32_t count)
+    {
+        const auto &drawn = m_workload.classes[workClass];
+        SubmitAction action;
+        action.request = m_world.makeId();
+        action.name = drawn.name;
+        action.profile = drawn.name;
+        action.perTask = {drawn.cores.draw(m_random) * milli,
+                          drawn.memoryGb.draw(m_random) * mbPerGb,
+                          drawn.accelerators.draw(m_random)};
+        action.count = count;
+        const bool runsOn = drawn.spec.kind == WorkKind::Service;
+        const Milliseconds runTime{runsOn ? -1 : drawn.runMs.draw(m_random)};
+        action.payload = fakes::payloadOf({++m_serial, runTime, false, 16});
+        action.bodyDigest = m_serial;
+        const auto daemon = m_random() % m_world.daemons.size();
+        Arrival arrival{workClass, team, count, action.perTask, runTime, m_world.now(), 0};
+        const auto request = action.request;
+        arrival.call = m_world.call(daemon, fakes::testKey(static_cast<std::uint8_t>(team)), std::move(action));
+        m_arrivals[request] = arrival;
+    }
+
+    void submitServices()
+    {
+        std::size_t team = 0;
+        for (std::size_t n = 0; n < m_workload.classes.size(); ++n) {
+            for (auto left = m_workload.classes[n].fixedTasks; left > 0;) {
+                const auto count = std::min({left, servicesPerJob, std::max(1U, m_workload.classes[n].fixedTasks / 6)});
+                submit(n, team++ % m_workload.shares.size(), count);
+                left -= count;
+            }
+        }
+    }
+
+    /** Arrivals a second that take the class's part of the cell at full load. */
+    double rateOf(const WorkClass &drawn) const
+    {
+        const Span second{Milliseconds{0}, Milliseconds{milli}};
+        const auto whole = offeredBy(m_workload.layout, second, m_workload.layout.domains);
+        const double seconds = drawn.runMs.mean() / milli;
+        const double perTask = drawn.loadsAccelerators ? drawn.accelerators.mean() : drawn.cores.mean() * milli;
+        const double offered = drawn.loadsAccelerators ? whole.accelerators : whole.cpu;
+        return m_options.load * drawn.load * offered / (perTask * drawn.count.mean() * seconds);
+    }
+
+    void startArrivals()
+    {
+        for (std::size_t n = 0; n < m_workload.classes.size(); ++n) {
+            const auto &drawn = m_workload.classes[n];
+            for (std::size_t team = 0; drawn.load > 0.0 && team < m_workload.demand.size(); ++team) {
+                scheduleNext({n, team, rateOf(drawn) * m_workload.demand[team]});
+            }
+        }
+    }
+
+    void scheduleNext(const Source &source)
+    {
+        const double seconds = std::exponential_distribution<>(source.perSecond)(m_random);
+        const Milliseconds pause{static_cast<std::int64_t>(std::ceil(seconds * milli))};
+        m_world.queue.after(pause, [this, source] {
+            const auto count = m_workload.classes[source.workClass].count.draw(m_random);
+            submit(source.workClass, source.team, static_cast<std::uint32_t>(count));
+            scheduleNext(source);
+        });
+    }
+
+    void setDomain(DomainService service)
+    {
+        change(SetDomain{{}, fakes::World::domainName(m_workload.layout.domains - 1), service});
+    }
+
+    void runDomainAbsence()
+    {
+        m_world.runFor(domainReturn);
+        m_outAt = m_world.now();
+        setDomain(DomainService::Out);
+        m_world.runFor(domainAbsence);
+        m_inAt = m_world.now();
+        setDomain(DomainService::In);
+        m_world.runFor(2 * domainReturn);
+    }
+
+    Costs costs() const
+    {
+        Costs sum;
+        for (const auto &it : m_world.daemons) {
+            const auto &counters = it.node->counters;
+            sum.messages += it.messages;
+            sum.ticks += it.ticks;
+            sum.appends += counters.appends;
+            sum.bytes += counters.appendedBytes;
+            for (const auto count : counters.rejections) {
+                sum.rejections += count;
+            }
+        }
+        sum.starts = m_world.journal.runs.size();
+        sum.cpuSeconds = static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+        return sum;
+    }
+
+    void row(const std::string &measure, const std::string &subject, double value, const char *unit) const
+    {
+        fmt::print("  {:<18} {:<16} {:>12.2f} {}\n", measure, subject, value, unit);
+        if (m_options.csv.empty()) {
+            return;
+        }
+        if (auto *file = std::fopen(m_options.csv.c_str(), "a"); file != nullptr) {
+            fmt::print(file,
+                       "{},{},{},{},{},{},{:.4f},{}\n",
+                       m_options.workload,
+                       rowOf(policyTable, m_options.policy).name,
+                       m_options.load,
+                       m_options.domainOut ? "domain-out" : "steady",
+                       measure,
+                       subject,
+                       value,
+                       unit);
+            std::fclose(file);
+        }
+    }
+
+    void printWaits() const
+    {
+        for (std::size_t n = 0; n < m_workload.classes.size(); ++n) {
+            const auto &drawn = m_workload.classes[n];
+            if (drawn.fixedTasks > 0) {
+                continue;
+            }
+            const auto figures = waitsOf(m_world.journal, m_arrivals, n, m_window);
+            row("wait p50", drawn.name, figures.p50, "ms");
+            row("wait p99", drawn.name, figures.p99, "ms");
+            row("tasks", drawn.name, static_cast<double>(figures.tasks), "tasks");
+            row("unstarted", drawn.name, static_cast<double>(figures.unstarted), "tasks");
+            row("refused", drawn.name, static_cast<double>(figures.refused), "tasks");
+        }
+    }
+
+    void printPacking() const
+    {
+        const auto offered = offeredBy(m_workload.layout, m_window, m_workload.layout.domains);
+        const auto used = usedIn(m_world.journal, m_arrivals, m_window);
+        const auto asked = askedIn(m_world.journal, m_arrivals, m_window);
+        auto packed = [this](const char *name, double has, double wants, double whole) {
+            row("used", name, 100.0 * has / whole, "%");
+            row("bound", name, 100.0 * std::min(1.0, wants / whole), "%");
+        };
+        packed("cpu", used.cpu, asked.cpu, offered.cpu);
+        packed("memory", used.memory, asked.memory, offered.memory);
+        packed("accelerators", used.accelerators, asked.accelerators, offered.accelerators);
+    }
+
+    void printShares() const
+    {
+        const auto offered = offeredBy(m_workload.layout, m_window, m_workload.layout.domains);
+        std::vector<double> got;
+        std::vector<double> asked;
+        for (std::size_t team = 0; team < m_workload.shares.size(); ++team) {
+            got.push_back(usedIn(m_world.journal, m_arrivals, m_window, team).dominantOf(offered));
+            asked.push_back(askedIn(m_world.journal, m_arrivals, m_window, team).dominantOf(offered));
+        }
+        double worst = 0.0;
+        double worstOfShare = 0.0;
+        for (const auto &it : divideByShare(got, asked, m_workload.shares)) {
+                fmt::print("  got {:.3f} entitled {:.3f}\n", it.got, it.entitled);
+            worst = std::max(worst, std::abs(it.got - it.entitled));
+            worstOfShare = std::max(worstOfShare, std::abs(it.got - it.entitled) / it.entitled);
+        }
+        row("share distance", "of the cell", 100.0 * worst, "%");
+        row("share distance", "of the share", 100.0 * worstOfShare, "%");
+    }
+
+    void printCosts() const
+    {
+        const double daemonSeconds = m_window.seconds() * static_cast<double>(m_world.daemons.size());
+        auto perSecond = [&](auto after, auto before) {
+            return static_cast<double>(after - before) / daemonSeconds;
+        };
+        row("cost", "messages", perSecond(m_after.messages, m_before.messages), "a daemon and second");
+        row("cost", "appends", perSecond(m_after.appends, m_before.appends), "a daemon and second");
+        row("cost", "appended", perSecond(m_after.bytes, m_before.bytes), "bytes (estimate) a daemon and second");
+        row("cost", "ticks", perSecond(m_after.ticks, m_before.ticks), "a daemon and second");
+        row("cost", "cpu with fakes", 100.0 * perSecond(m_after.cpuSeconds, m_before.cpuSeconds), "% of a core");
+        row("starts",
+            "",
+            static_cast<double>(m_after.starts - m_before.starts) / m_window.seconds(),
+            "a second, whole cell");
+        row("rejected", "commands", static_cast<double>(m_after.rejections - m_before.rejections), "at apply");
+    }
+
+    /** Work done over a span against what so many domains could do, or what is asked when that is less. */
+    double doneOf(const Span &span, std::size_t domains) const
+    {
+        const auto offered = offeredBy(m_workload.layout, span, domains);
+        const auto used = usedIn(m_world.journal, m_arrivals, span);
+        const Span before{m_window.from, m_outAt};
+        const auto usual = usedIn(m_world.journal, m_arrivals, before);
+        const double scale = span.seconds() / before.seconds();
+        const double cpu = used.cpu / std::min(offered.cpu, usual.cpu * scale);
+        const double accelerators = used.accelerators / std::min(offered.accelerators, usual.accelerators * scale);
+        return 100.0 * std::min(cpu, accelerators);
+    }
+
+    void printAbsence() const
+    {
+        const auto domains = m_workload.layout.domains;
+        row("work done", "while leaving", doneOf({m_outAt, m_outAt + leavingTime}, domains - 1), "% of allowed");
+        row("work done", "while out", doneOf({m_outAt + leavingTime, m_inAt}, domains - 1), "% of allowed");
+        row("work done", "10 s after", doneOf({m_inAt + domainReturn, m_window.to}, domains), "% of before");
+    }
+
+    Options m_options;
+    Workload m_workload;
+    fakes::World m_world;
+    std::mt19937_64 m_random;
+    Arrivals m_arrivals;
+    std::uint64_t m_serial = 0;
+    Span m_window;
+    Milliseconds m_outAt{0};
+    Milliseconds m_inAt{0};
+    Costs m_before;
+    Costs m_after;
+};
+
+std::optional<Options> readOptions(int argc, char **argv)
+{
+    namespace po = boost::program_options;
+    Options options;
+    std::string policy;
+    po::options_description description("Measures a policy over a workload");
+    auto add = description.add_options();
+    add("help", "this text");
+    add("workload", po::value(&options.workload)->default_value("bench/workloads/association.toml"), "TOML file");
+    add("policy", po::value(&policy)->default_value("share"), "share, fifo, first-fit, random");
+    add("load", po::value(&options.load)->default_value(1.0), "times the full load");
+    add("domain-out", po::bool_switch(&options.domainOut), "take a failure domain out for 20 s");
+    add("append-ms", po::value(&options.appendMs)->default_value(10), "latency of an append");
+    add("csv", po::value(&options.csv), "file to append rows to");
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, description), values);
+    po::notify(values);
+    const auto kind = valueNamed(policyTable, policy);
+    if (values.count("help") > 0 || !kind) {
+        std::ostringstream text;
+        text << description;
+        fmt::print("{}", text.str());
+        return std::nullopt;
+    }
+    options.policy = *kind;
+    return options;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        const auto options = readOptions(argc, argv);
+        if (!options) {
+            return 1;
+        }
+        auto workload = readWorkload(options->workload);
+        workload.layout.settings.policy = options->policy;
+        fmt::print("{} policy={} load={} {}\n",
+                   options->workload,
+                   rowOf(policyTable, options->policy).name,
+                   options->load,
+                   options->domainOut ? "domain out" : "steady");
+        Measurement measurement(*options, std::move(workload));
+        measurement.run();
+        measurement.print();
+        return 0;
+    } catch (const std::exception &error) {
+        fmt::print(stderr, "measure: {}\n", error.what());
+        return 1;
+    }
+}
--- a/tests/fakes/fake_worker.cpp
+++ b/tests/fakes/fake_worker.cpp
@@ -119,7 +119,9 @@
     m_journal.runs.push_back(
         {m_index, order.attempt, order.request, order.ordinal, order.payload, order.held, now, notYet, Outcome::None});
     m_journal.observations.push_back({now, Seen::RunStarted, run});
-    const Milliseconds endsAt = task.runTime < Milliseconds{0} ? Milliseconds::max() : now + task.runTime;
+    const auto saved = m_journal.saved.find({order.payload, order.ordinal});
+    const auto left = task.runTime - (saved != m_journal.saved.end() ? saved->second : Milliseconds{0});
+    const Milliseconds endsAt = task.runTime < Milliseconds{0} ? Milliseconds::max() : now + left;
     m_active[order.attempt] = {run, order.leaseUntil, failsAll ? now + Milliseconds{5} : endsAt};
     schedule(order.attempt);
 }
@@ -171,6 +173,9 @@
     auto &run = m_journal.runs[found->second.run];
     run.endedAt = m_queue.now();
     run.outcome = outcome;
+    if (outcome == Outcome::Checkpointed) {
+        m_journal.saved[{run.payload, run.ordinal}] += run.endedAt - run.startedAt;
+    }
     m_journal.observations.push_back({run.endedAt, Seen::RunEnded, found->second.run});
     m_active.erase(found);
     TaskResult result;
--- a/tests/fakes/journal.h
+++ b/tests/fakes/journal.h
@@ -3,6 +3,7 @@
 
 #include "message_type.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -80,6 +81,8 @@
     std::vector<Run> runs;
     std::vector<Call> calls;
     std::vector<Observation> observations;
+    std::map<std::pair<std::string, std::uint32_t>, Milliseconds>
+        saved; ///< Kept by checkpoints, by payload and ordinal.
 };
 
 } // namespace flamingotally::fakes
--- a/tests/fakes/world.cpp
+++ b/tests/fakes/world.cpp
@@ -58,7 +58,8 @@
         const auto domain = n / layout.workersPerDomain;
         const auto rack = fmt::format("rack-{}-{}", domain, n % layout.racksPerDomain);
         HostRow row{fmt::format("worker-{}", n), fmt::format("127.0.0.1:{}", 9'000 + n), domainName(domain), rack};
-        const auto &total = n % 3 == 2 ? layout.acceleratorWorkerTotal : layout.workerTotal;
+        const bool hasAccelerators = n % layout.acceleratorEvery == layout.acceleratorEvery - 1;
+        const auto &total = hasAccelerators ? layout.acceleratorWorkerTotal : layout.workerTotal;
         workers.push_back(std::make_unique<FakeWorker>(queue, journal, n, row, total));
         workers.back()->clockOffset = Milliseconds{100'000 + static_cast<std::int64_t>(random() % 1'000'000)};
     }
@@ -396,6 +397,7 @@
 
 void DaemonPorts::append(const Batch &batch)
 {
+    ++m_world.daemons[m_daemon].messages;
     auto &world = m_world;
     const auto daemon = m_daemon;
     const auto life = world.daemons[daemon].life;
@@ -432,6 +434,7 @@
 
 void DaemonPorts::readFrom(std::uint64_t offset)
 {
+    ++m_world.daemons[m_daemon].messages;
     auto &world = m_world;
     const auto daemon = m_daemon;
     const auto life = world.daemons[daemon].life;
@@ -468,6 +471,7 @@
 
 void DaemonPorts::sync(const WorkerSync &sync)
 {
+    ++m_world.daemons[m_daemon].messages;
     auto &world = m_world;
     const auto daemon = m_daemon;
     const auto life = world.daemons[daemon].life;
@@ -514,6 +518,7 @@
 
 void DaemonPorts::readHosts()
 {
+    ++m_world.daemons[m_daemon].messages;
     auto &world = m_world;
     const auto daemon = m_daemon;
     const auto life = world.daemons[daemon].life;
@@ -531,6 +536,7 @@
 
 void DaemonPorts::sendHeartbeat(const std::string &address, const Heartbeat &heartbeat)
 {
+    ++m_world.daemons[m_daemon].messages;
     auto &world = m_world;
     const auto sender = m_daemon;
     const auto listens = [&](const FakeDaemon &it) {
@@ -555,6 +561,7 @@
 
 void DaemonPorts::fetchRecords(const std::string &address, std::uint64_t offset)
 {
+    ++m_world.daemons[m_daemon].messages;
     auto &world = m_world;
     const auto daemon = m_daemon;
     const auto life = world.daemons[daemon].life;
--- a/tests/fakes/world.h
+++ b/tests/fakes/world.h
@@ -25,7 +25,8 @@
     std::size_t workersPerDomain = 3;
     std::size_t racksPerDomain = 2;
     Resources workerTotal{16'000, 32'768, 0};
-    Resources acceleratorWorkerTotal{16'000, 32'768, 4}; ///< Of every third worker.
+    Resources acceleratorWorkerTotal{16'000, 32'768, 4};
+    std::size_t acceleratorEvery = 3; ///< Each worker of this number has accelerators.
     Settings settings; ///< For every daemon; names and addresses are filled in.
 };
 
@@ -79,6 +80,7 @@
     bool tickQueued = false;
     std::uint64_t timer = 0; ///< Number of the timer that counts.
     std::uint64_t ticks = 0;
+    std::uint64_t messages = 0; ///< Requests and datagrams that it has sent, over all its lives.
     std::vector<Delivery> heldDeliveries; ///< In its socket buffers while paused.
     std::vector<EventFunction> heldSends;
     std::set<std::size_t> openCalls;
