Keep room for waiting gangs in place of whole workers

A gang at the head of the queue had whole workers closed to all others, which idled an eighth of the accelerators of a small cell and still let it wait. Only the room that its tasks need is kept now: whole places first, then what is free on the workers with the most room. The first blocked task of each team's lane gets the same, for one lane in eight workers. An attempt may be preempted by share after 5 s instead of 10 s.

--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -292,7 +292,7 @@
         double worst = 0.0;
         double worstOfShare = 0.0;
         for (const auto &it : divideByShare(got, asked, m_workload.shares)) {
-                fmt::print("  got {:.3f} entitled {:.3f}\n", it.got, it.entitled);
+            fmt::print("  got {:.3f} entitled {:.3f}\n", it.got, it.entitled);
             worst = std::max(worst, std::abs(it.got - it.entitled));
             worstOfShare = std::max(worstOfShare, std::abs(it.got - it.entitled) / it.entitled);
         }
@@ -318,7 +318,7 @@
         row("rejected", "commands", static_cast<double>(m_after.rejections - m_before.rejections), "at apply");
     }
 
-    /** Work done over a span against what so many domains could do, or what is asked when that is less. */
+    /** Use of the scarcer resource against what so many domains offer, or what was used before when that is less. */
     double doneOf(const Span &span, std::size_t domains) const
     {
         const auto offered = offeredBy(m_workload.layout, span, domains);
@@ -326,9 +326,9 @@
         const Span before{m_window.from, m_outAt};
         const auto usual = usedIn(m_world.journal, m_arrivals, before);
         const double scale = span.seconds() / before.seconds();
-        const double cpu = used.cpu / std::min(offered.cpu, usual.cpu * scale);
-        const double accelerators = used.accelerators / std::min(offered.accelerators, usual.accelerators * scale);
-        return 100.0 * std::min(cpu, accelerators);
+        const bool isCpuBound = usual.cpu / offered.cpu > usual.accelerators / offered.accelerators;
+        return isCpuBound ? 100.0 * used.cpu / std::min(offered.cpu, usual.cpu * scale)
+                          : 100.0 * used.accelerators / std::min(offered.accelerators, usual.accelerators * scale);
     }
 
     void printAbsence() const
--- a/src/policy/gang.cpp
+++ b/src/policy/gang.cpp
@@ -65,6 +65,26 @@
     return rows;
 }
 
+/** Rows on which tasks would fit some day, and how many fit now; none when all of them together are too few. */
+std::vector<RowFit>
+rowsToKeep(const RoomTable &rooms, const LiveAttemptTable &attempts, const Resources &amount, std::uint32_t count)
+{
+    std::vector<RowFit> rows;
+    std::uint64_t attainable = 0;
+    for (std::uint32_t n = 0; n < rooms.size(); ++n) {
+        const auto most =
+            rooms.use[n] == RowUse::Open ? fitCount(attainableRoom(attempts, rooms, n), amount, count) : 0;
+        if (most > 0) {
+            attainable += most;
+            rows.push_back({n, fitCount(rooms.free[n], amount, count)});
+        }
+    }
+    if (attainable < count) {
+        rows.clear();
+    }
+    return rows;
+}
+
 } // namespace
 
 std::uint32_t fitCount(const Resources &room, const Resources &amount, std::uint32_t most)
@@ -102,30 +122,25 @@
     return assign(std::move(fits), count);
 }
 
-bool reserveRows(RoomTable &rooms, const LiveAttemptTable &attempts, const Resources &amount, std::uint32_t count)
+bool keepRoom(RoomTable &rooms, const LiveAttemptTable &attempts, const Resources &amount, std::uint32_t count)
 {
-    std::vector<RowFit> fits;
-    for (std::uint32_t n = 0; n < rooms.size(); ++n) {
-        if (rooms.use[n] == RowUse::Open && fitCount(attainableRoom(attempts, rooms, n), amount, count) > 0) {
-            fits.push_back({n, fitCount(rooms.free[n] + rooms.soon[n], amount, count)});
-        }
-    }
-    std::ranges::stable_sort(fits, [&](const RowFit &left, const RowFit &right) {
-        const double leftRoom = dominantPart(rooms.free[left.row] + rooms.soon[left.row], rooms.total[left.row]);
-        const double rightRoom = dominantPart(rooms.free[right.row] + rooms.soon[right.row], rooms.total[right.row]);
-        return std::tie(left.fit, leftRoom) > std::tie(right.fit, rightRoom);
-    });
-    std::uint64_t sum = 0;
-    std::size_t used = 0;
-    while (sum < count && used < fits.size()) {
-        sum += fitCount(attainableRoom(attempts, rooms, fits[used].row), amount, count);
-        ++used;
-    }
-    if (sum < count) {
+    auto rows = rowsToKeep(rooms, attempts, amount, count);
+    if (rows.empty()) {
         return false;
     }
-    for (std::size_t n = 0; n < used; ++n) {
-        rooms.use[fits[n].row] = RowUse::Reserved;
+    std::uint32_t left = count;
+    for (const auto &it : rows) {
+        const auto fit = std::min(it.fit, left);
+        rooms.free[it.row] -= amount * fit;
+        left -= fit;
+    }
+    const auto byRoom = [&](const RowFit &it) {
+        return dominantPart(rooms.free[it.row] + rooms.soon[it.row], rooms.total[it.row]);
+    };
+    std::ranges::stable_sort(rows, std::ranges::greater{}, byRoom);
+    for (std::size_t n = 0; n < rows.size() && left > 0; ++n, --left) {
+        auto &free = rooms.free[rows[n].row];
+        free -= smallerOf(free, amount);
     }
     return true;
 }
--- a/src/policy/gang.h
+++ b/src/policy/gang.h
@@ -21,14 +21,15 @@
 std::vector<std::uint32_t> placeGang(const RoomTable &rooms, const TaskNeed &need, std::uint32_t count);
 
 /**
- * Keeps workers for waiting tasks: those with the most room for them now, until enough would come free by itself.
- * Workers that are kept gain room while others change, so that each later plan keeps the same ones.
- * @param rooms Rows that are kept are marked as reserved.
+ * Keeps room for waiting tasks: whole places where there are any now, and for the rest what is free on the workers
+ * with the most room, one task a worker. Room that is kept grows as tasks end there, so that each later plan keeps the
+ * same and more, until all tasks fit.
+ * @param rooms What is kept is taken from what is free.
  * @param attempts The live attempts.
  * @param amount Need of one task.
  * @param count Number of tasks.
  * @return False when even all workers together could not hold them; nothing is kept then.
  */
-bool reserveRows(RoomTable &rooms, const LiveAttemptTable &attempts, const Resources &amount, std::uint32_t count);
+bool keepRoom(RoomTable &rooms, const LiveAttemptTable &attempts, const Resources &amount, std::uint32_t count);
 
 } // namespace flamingotally
--- a/src/policy/live_attempts.h
+++ b/src/policy/live_attempts.h
@@ -45,7 +45,7 @@
 };
 
 /** Least run of an attempt before it may be preempted by share. */
-constexpr Milliseconds minRunBeforePreemption{10'000};
+constexpr Milliseconds minRunBeforePreemption{5'000};
 
 /**
  * Fills the rows from the replicated tables, and what is about to come free.
--- a/src/policy/placement_policy.h
+++ b/src/policy/placement_policy.h
@@ -28,7 +28,6 @@
     const SpreadCounts *counts = nullptr; ///< Set when the job is spread.
     WorkerRef avoid; ///< Worker of the last failed attempt.
     bool mayBorrow = false; ///< May use the room that accelerator work needs: it is short, or can be preempted.
-    bool mayUseReserved = false; ///< May use workers that are kept for a gang.
     bool mayProbe = false; ///< May go to a worker that has to prove itself.
     std::uint64_t seed = 0; ///< For policies that choose at random.
 };
@@ -107,8 +106,7 @@
 /** Tells whether a plan may put a task on a worker, room aside. */
 inline bool mayUseRow(RowUse use, const TaskNeed &need)
 {
-    return use == RowUse::Open || (use == RowUse::Reserved && need.mayUseReserved)
-        || (use == RowUse::Probe && need.mayProbe);
+    return use == RowUse::Open || (use == RowUse::Probe && need.mayProbe);
 }
 
 /**
--- a/src/policy/planner.h
+++ b/src/policy/planner.h
@@ -14,6 +14,9 @@
 /** Waiting of the head of the queue after which workers are kept for it. */
 constexpr Milliseconds reserveAfter{2'000};
 
+/** Room is kept for the head of one lane at most for so many workers, so that little lies idle. */
+constexpr std::size_t workersPerReservation = 8;
+
 /** Waiting after which work that is not urgent may preempt. */
 constexpr Milliseconds preemptAfter{1'000};
 
@@ -50,6 +53,7 @@
         std::size_t end = 0;
         std::uint32_t nextTask = 0; ///< Task of the next job.
         SmallestNeeds blocked; ///< Needs that no room could be made for.
+        bool hasReservation = false; ///< Room is kept for its first blocked task.
     };
 
     void makeLanes()
@@ -63,7 +67,7 @@
         for (std::size_t n = 0; n < jobs.size(); ++n) {
             const auto key = QueueT::laneOf(jobs[n]);
             if (m_lanes.empty() || m_lanes.back().key != key) {
-                m_lanes.push_back({key, n, n, 0, {}});
+                m_lanes.push_back({key, n, n, 0, {}, false});
             }
             m_lanes.back().end = n + 1;
         }
@@ -215,7 +219,7 @@
             return true;
         }
         lane.blocked.add(amount);
-        reserve(job, amount, m_hasTaskReservation);
+        reserve(job, amount, lane.hasReservation);
         return false;
     }
 
@@ -258,9 +262,7 @@
     void takeSoon(std::size_t row, const RoomClaim &claim)
     {
         auto &free = m_scratch.rooms.free[row];
-        const Resources taken{std::min(free.cpuMilli, claim.amount.cpuMilli),
-                              std::min(free.memoryMb, claim.amount.memoryMb),
-                              std::min(free.accelerators, claim.amount.accelerators)};
+        const Resources taken = smallerOf(free, claim.amount);
         free -= taken;
         m_scratch.rooms.soon[row] -= claim.amount - taken;
         m_scratch.teams.use[claim.team.index] += claim.amount;
@@ -268,12 +270,14 @@
 
     void reserve(const WaitingJob &job, const Resources &amount, bool &hasReservation)
     {
-        if (hasReservation || m_input.now - job.since < reserveAfter) {
+        const auto most = 1 + m_scratch.rooms.size() / workersPerReservation;
+        if (hasReservation || m_reservations == most || m_input.now - job.since < reserveAfter) {
             return;
         }
         needAttempts();
         const auto count = job.kind == WorkKind::Gang ? job.taskCount : 1;
-        hasReservation = reserveRows(m_scratch.rooms, m_scratch.attempts, amount, count);
+        hasReservation = keepRoom(m_scratch.rooms, m_scratch.attempts, amount, count);
+        m_reservations += hasReservation ? 1 : 0;
     }
 
     void needAttempts()
@@ -294,7 +298,7 @@
     std::uint32_t m_stopSearches = 0;
     bool m_hasAttempts = false;
     bool m_hasGangReservation = false;
-    bool m_hasTaskReservation = false;
+    std::size_t m_reservations = 0;
 };
 
 } // namespace flamingotally
--- a/src/policy/room.cpp
+++ b/src/policy/room.cpp
@@ -125,6 +125,13 @@
     return (teams.use[team.index] + more).fitsInto(tables.teams.get<TeamPolicy>(team).limit);
 }
 
+Resources smallerOf(const Resources &one, const Resources &other)
+{
+    return {std::min(one.cpuMilli, other.cpuMilli),
+            std::min(one.memoryMb, other.memoryMb),
+            std::min(one.accelerators, other.accelerators)};
+}
+
 void takeRoom(RoomTable &rooms, TeamUseTable &teams, std::size_t row, TeamRef team, const Resources &amount)
 {
     rooms.free[row] -= amount;
--- a/src/policy/room.h
+++ b/src/policy/room.h
@@ -16,7 +16,6 @@
 enum class RowUse : std::uint8_t {
     Closed, ///< Not there, leaving, set aside, or in a domain out of service.
     Open,
-    Reserved, ///< Kept for a gang: only short or urgent work goes there.
     Probe, ///< Set aside, and due for one task.
     End,
 };
@@ -68,6 +67,9 @@
 /** Tells whether a team may run some more within its limit. */
 bool withinLimit(const Tables &tables, const TeamUseTable &teams, TeamRef team, const Resources &more);
 
+/** The smaller of two amounts, each part on its own. */
+Resources smallerOf(const Resources &one, const Resources &other);
+
 /** Gives room of a worker away to a team. */
 void takeRoom(RoomTable &rooms, TeamUseTable &teams, std::size_t row, TeamRef team, const Resources &amount);
 
--- a/src/policy/task_need.cpp
+++ b/src/policy/task_need.cpp
@@ -18,7 +18,7 @@
 
 std::size_t failureClassOf(const TaskNeed &need)
 {
-    return (need.mayBorrow ? 1U : 0U) | (need.mayUseReserved ? 2U : 0U) | (need.mayProbe ? 4U : 0U);
+    return (need.mayBorrow ? 1U : 0U) | (need.mayProbe ? 2U : 0U);
 }
 
 void SpreadCounts::add(const RoomTable &rooms, std::size_t row)
@@ -53,7 +53,6 @@
     need.spread = treatment.spread;
     const bool isShort = treatment.kind == WorkKind::Request;
     need.mayBorrow = isShort || treatment.checkpoint;
-    need.mayUseReserved = isShort || treatment.urgency == Urgency::Urgent;
     const bool isPatient = treatment.kind == WorkKind::Batch && treatment.urgency != Urgency::Urgent;
     need.mayProbe = isPatient && treatment.idempotent && treatment.maxRetries > 0;
     return need;
--- a/src/policy/task_need.h
+++ b/src/policy/task_need.h
@@ -18,7 +18,7 @@
 };
 
 /** Number of kinds of tasks that may use different workers. */
-constexpr std::size_t failureClasses = 8;
+constexpr std::size_t failureClasses = 4;
 
 /** Kind of a task: those of one kind and of one size find room on the same workers. */
 std::size_t failureClassOf(const TaskNeed &need);
