--- a/src/attempt.cpp
+++ b/src/attempt.cpp
@@ -160,6 +160,19 @@
     return (running + need).fitsInto(tables.teams.get<TeamPolicy>(team).limit) ? Reason::None : Reason::TeamLimit;
 }
 
+const ProfileSpec &treatmentOf(const Tables &tables, AttemptRef attempt)
+{
+    const auto task = tables.attempts.get<AttemptIdentity>(attempt).task;
+    return tables.jobs.get<JobSpec>(tables.tasks.get<TaskIdentity>(task).job).treatment;
+}
+
+bool isOfDaemonsDomain(const Tables &tables, AttemptRef attempt, DaemonRef daemon)
+{
+    const auto worker = tables.attempts.get<AttemptIdentity>(attempt).worker;
+    return tables.daemons.contains(daemon)
+        && tables.daemons.get<DaemonIdentity>(daemon).domain == tables.workers.get<WorkerPlace>(worker).domain;
+}
+
 void takePlacement(const Tables &tables, const Placement &placement, PlacementScratch &scratch)
 {
     const auto jobRef = tables.tasks.get<TaskIdentity>(placement.task).job;
--- a/src/attempt_cmd.cpp
+++ b/src/attempt_cmd.cpp
@@ -57,28 +57,13 @@
     return isGang && !cover.isWhole(job) ? Reason::GangIncomplete : Reason::None;
 }
 
-/** Tells whether the proposer stands in the failure domain of an attempt's worker. */
-bool isOfSameDomain(const Tables &tables, DaemonRef proposer, WorkerRef worker)
-{
-    return tables.daemons.contains(proposer)
-        && tables.daemons.get<DaemonIdentity>(proposer).domain == tables.workers.get<WorkerPlace>(worker).domain;
-}
-
-/** The treatment of an attempt's job. */
-const ProfileSpec &treatmentOf(const Tables &tables, AttemptRef attempt)
-{
-    const auto task = tables.attempts.get<AttemptIdentity>(attempt).task;
-    return tables.jobs.get<JobSpec>(tables.tasks.get<TaskIdentity>(task).job).treatment;
-}
-
 /** Judges whether a proposer may end a lease from outside the worker. */
 Reason testLapse(const Tables &tables, const RecordContext &context, AttemptRef attempt)
 {
     if (treatmentOf(tables, attempt).whenCutOff == CutOffRule::Move) {
         return Reason::None;
     }
-    const auto worker = tables.attempts.get<AttemptIdentity>(attempt).worker;
-    return isOfSameDomain(tables, context.proposer, worker) ? Reason::None : Reason::LeaseKept;
+    return isOfDaemonsDomain(tables, attempt, context.proposer) ? Reason::None : Reason::LeaseKept;
 }
 
 Reason testStop(const Tables &tables, const RecordContext &context, AttemptRef attempt, StopCause cause)
--- a/src/attempt_func.h
+++ b/src/attempt_func.h
@@ -22,6 +22,12 @@
 /** Enters a placement that passed the test into the scratch. */
 void takePlacement(const Tables &tables, const Placement &placement, PlacementScratch &scratch);
 
+/** The profile's values by which an attempt's job is treated. */
+const ProfileSpec &treatmentOf(const Tables &tables, AttemptRef attempt);
+
+/** Tells whether an attempt runs in the failure domain of a daemon; false for a daemon that is not known. */
+bool isOfDaemonsDomain(const Tables &tables, AttemptRef attempt, DaemonRef daemon);
+
 /** Begins an attempt. The placement has passed the test. */
 void beginAttempt(Tables &tables, const RecordContext &context, const Placement &placement);
 
--- a/src/systems/lapse.cpp
+++ b/src/systems/lapse.cpp
@@ -1,6 +1,6 @@
 #include "systems/lapse.h"
 
-#include "systems/worker_order.h"
+#include "attempt_func.h"
 
 namespace flamingotally
 {
@@ -46,7 +46,7 @@
 void LapseCollector::consider(AttemptRef attempt, WorkerLinkRef ref)
 {
     const bool isKept = treatmentOf(m_node.tables, attempt).whenCutOff == CutOffRule::Keep;
-    if (!m_node.view.fresh || (isKept && !isOfOwnDomain(m_node, attempt))) {
+    if (!m_node.view.fresh || (isKept && !isOfDaemonsDomain(m_node.tables, attempt, selfRef(m_node)))) {
         return;
     }
     const auto &state = m_node.tables.attempts.get<AttemptState>(attempt);
--- a/src/systems/worker_order.cpp
+++ b/src/systems/worker_order.cpp
@@ -1,5 +1,6 @@
 #include "systems/worker_order.h"
 
+#include "attempt_func.h"
 #include "systems/worker_link.h"
 
 namespace flamingotally
@@ -34,7 +35,7 @@
         return false;
     }
     const bool isKept = treatmentOf(node.tables, attempt).whenCutOff == CutOffRule::Keep;
-    return node.view.fresh || (isKept && isOfOwnDomain(node, attempt));
+    return node.view.fresh || (isKept && isOfDaemonsDomain(node.tables, attempt, selfRef(node)));
 }
 
 bool hasOrders(const WorkerSync &sync)
@@ -55,20 +56,6 @@
 
 } // namespace
 
-const ProfileSpec &treatmentOf(const Tables &tables, AttemptRef attempt)
-{
-    const auto task = tables.attempts.get<AttemptIdentity>(attempt).task;
-    return tables.jobs.get<JobSpec>(tables.tasks.get<TaskIdentity>(task).job).treatment;
-}
-
-bool isOfOwnDomain(const Node &node, AttemptRef attempt)
-{
-    const auto self = selfRef(node);
-    const auto worker = node.tables.attempts.get<AttemptIdentity>(attempt).worker;
-    return self.isSet()
-        && node.tables.daemons.get<DaemonIdentity>(self).domain == node.tables.workers.get<WorkerPlace>(worker).domain;
-}
-
 OrderBook::OrderBook(Node &node, const TickTime &time) : m_node(node), m_time(time)
 {
     m_syncs.resize(node.workerLinks.capacity());
--- a/src/systems/worker_order.h
+++ b/src/systems/worker_order.h
@@ -37,10 +37,4 @@
     std::vector<WorkerSync> m_syncs; ///< By index of the line.
 };
 
-/** The treatment of an attempt's job. */
-const ProfileSpec &treatmentOf(const Tables &tables, AttemptRef attempt);
-
-/** Tells whether this daemon stands in the failure domain of an attempt's worker. */
-bool isOfOwnDomain(const Node &node, AttemptRef attempt);
-
 } // namespace flamingotally
