--- a/bench/measure.cpp
+++ b/bench/measure.cpp
@@ -314,7 +314,7 @@
         row("starts",
             "",
             static_cast<double>(m_after.starts - m_before.starts) / m_window.seconds(),
-            "a second, whole cell");
+            "a second and cell");
         row("rejected", "commands", static_cast<double>(m_after.rejections - m_before.rejections), "at apply");
     }
 
