--- a/src/systems/host_list.cpp
+++ b/src/systems/host_list.cpp
@@ -3,6 +3,7 @@
 #include "systems/rendezvous.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace flamingotally
 {
@@ -64,23 +65,54 @@
     return node.peers.contains(peer) && !node.peers.get<Peer>(peer).readsLog && !node.view.lastReadFailed;
 }
 
+/** How this daemon's exchanges with a worker go. */
+enum class Reach : std::uint8_t {
+    Unknown, ///< None has been answered or has failed for long.
+    Reached,
+    Lost,
+};
+
+Reach reachOf(const Node &node, const std::string &worker, const TickTime &time)
+{
+    const auto link = findRef(node.workerLinkByName, worker);
+    if (!node.workerLinks.contains(link)) {
+        return Reach::Unknown;
+    }
+    const auto &row = node.workerLinks.get<WorkerLink>(link);
+    if (row.unreachableSince == MonotonicTime{}) {
+        return row.heardAt == MonotonicTime{} ? Reach::Unknown : Reach::Reached;
+    }
+    return time.now - row.unreachableSince >= node.settings.workerTimeout ? Reach::Lost : Reach::Unknown;
+}
+
+/** Service that a worker should be in; nothing when this daemon cannot tell. Out of reach it takes no new task. */
+std::optional<WorkerService> wantedService(const Node &node, WorkerRef worker, const TickTime &time)
+{
+    const auto &name = node.tables.workers.get<WorkerIdentity>(worker).name;
+    const auto *host = findHost(node, name);
+    const auto reach = reachOf(node, name, time);
+    if (host == nullptr || host->leaving || (reach == Reach::Lost && ownsWorker(node, worker, time))) {
+        return WorkerService::Leaving;
+    }
+    return reach == Reach::Reached ? std::optional(WorkerService::Live) : std::nullopt;
+}
+
 void proposeForWorker(Node &node, WorkerRef worker, const TickTime &time)
 {
     const auto &name = node.tables.workers.get<WorkerIdentity>(worker).name;
     const auto service = node.tables.workers.get<WorkerState>(worker).service;
-    const auto *host = findHost(node, name);
-    const bool shouldLeave = host == nullptr || host->leaving;
+    const auto wanted = wantedService(node, worker, time);
     const bool isLeaving = service == WorkerService::Leaving;
     const bool isEmpty = node.tables.workers.get<WorkerRoom>(worker).attempts == 0;
     const bool mayRemove = isLeaving && isEmpty && isGone(node, name, time);
-    if ((shouldLeave == isLeaving && !mayRemove) || !speaksFor(node, worker, time)) {
+    const bool isChange = wanted && (*wanted == WorkerService::Leaving) != isLeaving;
+    if ((!isChange && !mayRemove) || !speaksFor(node, worker, time)) {
         return;
     }
     if (mayRemove) {
         proposeForHost(node, name, RemoveWorker{worker}, time);
     } else {
-        const auto wanted = shouldLeave ? WorkerService::Leaving : WorkerService::Live;
-        proposeForHost(node, name, SetWorkerService{worker, wanted}, time);
+        proposeForHost(node, name, SetWorkerService{worker, *wanted}, time);
     }
 }
 
