--- a/apps/flamingoctl/command_table.h
+++ b/apps/flamingoctl/command_table.h
@@ -36,6 +36,7 @@
     Workers,
     History,
     Top,
+    Refusals,
     End,
 };
 
@@ -77,6 +78,7 @@
     {CtlCommand::Workers, "workers", "", 0, "List the workers.", listWorkers},
     {CtlCommand::History, "history", "", 0, "List the changes of the configuration.", showHistory},
     {CtlCommand::Top, "top", "", 0, "Show teams, failure domains, daemons, profiles and refusals.", showTop},
+    {CtlCommand::Refusals, "refusals", "", 0, "List all reasons of refusals and what they mean.", listRefusals},
 }};
 static_assert(isComplete(ctlCommandTable));
 
--- a/apps/flamingoctl/commands.h
+++ b/apps/flamingoctl/commands.h
@@ -43,5 +43,6 @@
 ExitCode listWorkers(Session &session, const Arguments &arguments);
 ExitCode showHistory(Session &session, const Arguments &arguments);
 ExitCode showTop(Session &session, const Arguments &arguments);
+ExitCode listRefusals(Session &session, const Arguments &arguments);
 
 } // namespace flamingotally
--- a/apps/flamingoctl/operator_commands.cpp
+++ b/apps/flamingoctl/operator_commands.cpp
@@ -3,6 +3,7 @@
 #include "core/error.h"
 #include "key_func.h"
 #include "output.h"
+#include "table/reason_table.h"
 
 #include <absl/strings/ascii.h>
 #include <fmt/format.h>
@@ -265,4 +266,15 @@
     });
 }
 
+ExitCode listRefusals(Session &, const Arguments &)
+{
+    for (const auto &row : reasonTable) {
+        if (row.value != Reason::None) {
+            const auto *retry = row.retryable ? "try again" : "do not repeat";
+            fmt::print("{:<24} {}  {:<14} {}\n", row.name, row.httpStatus, retry, row.text);
+        }
+    }
+    return ExitCode::Ok;
+}
+
 } // namespace flamingotally
--- a/apps/flamingoctl/session.cpp
+++ b/apps/flamingoctl/session.cpp
@@ -2,7 +2,9 @@
 
 #include "core/error.h"
 #include "net/http_target.h"
+#include "output.h"
 #include "request_type.h"
+#include "table/reason_table.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
@@ -25,6 +27,12 @@
     return answer;
 }
 
+/** Reason that an error answer bears; nothing when it bears none that is known. */
+std::optional<Reason> reasonOf(const boost::json::value &json)
+{
+    return valueNamed(reasonTable, textAt(json, "error.reason"));
+}
+
 CtlAnswer answerOf(HttpResponse response)
 {
     CtlAnswer answer;
@@ -35,6 +43,9 @@
         boost::system::error_code ec;
         answer.json = boost::json::parse(answer.body, ec);
     }
+    if (answer.code == ExitCode::OutcomeUnknown && reasonOf(answer.json) == Reason::DeadlinePassed) {
+        answer.code = ExitCode::Unavailable; // Surely not run.
+    }
     return answer;
 }
 
--- a/src/table/policy_table.h
+++ b/src/table/policy_table.h
@@ -15,4 +15,9 @@
 }};
 static_assert(isComplete(policyTable));
 
+constexpr const auto &namesOf(PolicyKind)
+{
+    return policyTable;
+}
+
 } // namespace flamingotally
--- a/src/table/settings_table.h
+++ b/src/table/settings_table.h
@@ -5,11 +5,12 @@
 #include "core/field_table.h"
 #include "settings_type.h"
 #include "table/log_table.h"
+#include "table/policy_table.h"
 
 namespace flamingotally
 {
 
-using SettingRow = FieldRow<Settings, LogLevel>;
+using SettingRow = FieldRow<Settings, LogLevel, PolicyKind>;
 
 constexpr std::int64_t maxNameLength = 63;
 constexpr std::int64_t maxAddressLength = 21;
@@ -170,6 +171,12 @@
                0,
                65'536,
                "Larger results stay with the worker."},
+    SettingRow{"policy",
+               FieldKind::Choice,
+               &Settings::policy,
+               0,
+               0,
+               "Order and placement of waiting work; equal on all daemons."},
     SettingRow{"setAsideFailures",
                FieldKind::Count,
                &Settings::setAsideFailures,
