--- a/bench/capacity_slopes.cpp
+++ b/bench/capacity_slopes.cpp
@@ -164,5 +164,7 @@
     measureTables(cell);
     measureRecords(cell);
     measureEnded(cell);
+    fmt::print("with the ids that stayed:\n");
+    measureTables(cell);
     return EXIT_SUCCESS;
 }
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -37,7 +37,8 @@
     Milliseconds workerTimeout{2'000}; ///< An exchange unanswered this long after its wait counts as failed.
     Milliseconds requestTimeout{10'000}; ///< Longest time that a caller is kept waiting for acceptance.
     Milliseconds drainTimeout{30'000}; ///< Longest time that a shutdown waits for requests in flight.
-    Milliseconds snapshotInterval{60'000}; ///< Between snapshots of the tables.
+    Milliseconds snapshotInterval{
+        600'000}; ///< Between snapshots of the tables; at most a third of the log's retention.
     Milliseconds jobRetention{600'000}; ///< How long ended jobs and their results are kept.
 
     std::uint64_t appendBudget = 300; ///< Appends a second that all daemons together may make.
--- a/src/systems/digest.cpp
+++ b/src/systems/digest.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr std::uint64_t baseInterval = 64; ///< Records between two digests of small tables.
+constexpr Milliseconds baseInterval{1'000}; ///< Between two digests of small tables.
 constexpr std::uint64_t rowsPerInterval = 4'096; ///< The interval grows with every so many rows.
 constexpr std::size_t keptDigests = 32;
 constexpr Milliseconds repairPause{10'000}; ///< Shortest time between two repairs.
@@ -88,20 +88,24 @@
 
 } // namespace
 
-std::uint64_t digestInterval(const Tables &tables)
+Milliseconds digestInterval(const Tables &tables)
 {
-    const auto rows = tables.requests.size() + tables.jobs.size() + tables.tasks.size() + tables.attempts.size();
-    return baseInterval * std::bit_ceil(std::max<std::uint64_t>(1, rows / rowsPerInterval));
+    const std::uint64_t rows =
+        tables.requests.size() + tables.jobs.size() + tables.tasks.size() + tables.attempts.size();
+    const auto factor = std::bit_ceil(std::max<std::uint64_t>(1, (rows + rowsPerInterval - 1) / rowsPerInterval));
+    return baseInterval * static_cast<std::int64_t>(factor);
 }
 
-void noteApplied(Node &node, const LogEntry &entry, const TickTime &time)
+void noteApplied(Node &node, const LogEntry &entry, LogTime before, const TickTime &time)
 {
-    const auto offset = node.tables.position.nextOffset;
+    const auto &position = node.tables.position;
+    const auto interval = digestInterval(node.tables);
+    const bool isDue = position.time.time_since_epoch() / interval != before.time_since_epoch() / interval;
     const bool isSnapshotEnd = noteSnapshots(node, entry, time);
-    if (!isSnapshotEnd && offset % digestInterval(node.tables) != 0) {
+    if (!isSnapshotEnd && !isDue) {
         return;
     }
-    node.digests.push_back({offset, digestOf(node.tables)});
+    node.digests.push_back({position.nextOffset, digestOf(node.tables)});
     if (node.digests.size() > keptDigests) {
         node.digests.pop_front();
     }
--- a/src/systems/read_log.cpp
+++ b/src/systems/read_log.cpp
@@ -70,10 +70,11 @@
 /** Applies one record. */
 void applyOne(Node &node, const LogEntry &entry, const TickTime &time)
 {
+    const auto before = node.tables.position.time;
     const auto result = applyEntry(node.tables, entry);
     node.view.entryReceivedAt = time.now;
     ++node.counters.recordsApplied;
-    noteApplied(node, entry, time);
+    noteApplied(node, entry, before, time);
     if (isOwnBatch(node, entry) && result.reason != Reason::BatchRepeated) {
         resolveBatch(node, result);
     }
--- a/src/systems/snapshot.cpp
+++ b/src/systems/snapshot.cpp
@@ -12,15 +12,15 @@
 
 constexpr std::uint64_t bytesPerSecond = 2'048; ///< Mean rate that snapshots may add to the log.
 constexpr std::uint64_t fewRecords = 64; ///< After fewer new records the tables are not worth a snapshot soon.
-constexpr std::int64_t quietFactor = 10; ///< A quiet log gets its snapshots at this multiple of the interval.
+constexpr std::int64_t longestFactor = 2; ///< Multiple of the interval by which there is a snapshot in any case.
 
-/** Pause between two snapshots: by the setting, longer for large tables and for a quiet log. */
+/** Pause between two snapshots: by the setting, up to twice as long for large tables and for a quiet log. */
 Milliseconds pauseOf(const Node &node)
 {
+    const auto longest = node.settings.snapshotInterval * longestFactor;
     const Milliseconds bySize{static_cast<std::int64_t>(node.snapshot.bytes * 1'000 / bytesPerSecond)};
-    const auto pause = std::max(node.settings.snapshotInterval, bySize);
     const bool isQuiet = node.tables.position.nextOffset < node.snapshot.newestOffset + fewRecords;
-    return isQuiet ? std::max(pause, node.settings.snapshotInterval * quietFactor) : pause;
+    return isQuiet ? longest : std::clamp(bySize, node.settings.snapshotInterval, longest);
 }
 
 /** Tells whether the log has dropped so much that the newest snapshot is in the older half of what it keeps. */
--- a/src/systems/snapshot_work.h
+++ b/src/systems/snapshot_work.h
@@ -9,11 +9,18 @@
 /**
  * Follows the log record by record: digests the tables at the offsets that all daemons agree on, and watches
  * snapshots pass. Called after each applied record.
+ * @param node The daemon.
+ * @param entry The record.
+ * @param before Time of the log before the record was applied.
+ * @param time Now.
  */
-void noteApplied(Node &node, const LogEntry &entry, const TickTime &time);
+void noteApplied(Node &node, const LogEntry &entry, LogTime before, const TickTime &time);
 
-/** Number of records between two digests, by the size of the tables, so that their cost stays in bounds. */
-std::uint64_t digestInterval(const Tables &tables);
+/**
+ * Time between two digests, by the log's clock. It grows with the tables, so that digests take the same share of a
+ * core at any size and at any rate of records. Each interval is a multiple of the smaller ones.
+ */
+Milliseconds digestInterval(const Tables &tables);
 
 /** Compares the digests of peers with the own one at the same offset. A contradicted daemon loads its tables anew. */
 void compareDigests(Node &node, const TickTime &time);
