--- a/bench/end_to_end.cpp
+++ b/bench/end_to_end.cpp
@@ -68,6 +68,7 @@
     }
 
     absl::flat_hash_map<std::string, Submission> submissions; ///< By id.
+    std::string lastError; ///< Text of the last answer that was not a success.
 
 private:
     /** Sends what is due, each by its own time, whatever became of those before. */
@@ -105,16 +106,12 @@
             it.answeredAt = m_clock.now();
             it.status = result.ok() ? result->status : 0;
             if (!result.ok() || result->status >= 300) {
-                m_lastError = result.ok() ? result->body : std::string(result.status().message());
+                lastError = result.ok() ? result->body : std::string(result.status().message());
             }
             ++m_answered;
         });
     }
 
-public:
-    std::string m_lastError; ///< Text of the last answer that was not a success.
-
-private:
     Options m_options;
     SystemClock m_clock;
     HttpClient m_http;
@@ -126,7 +123,7 @@
     std::size_t m_answered = 0;
 };
 
-/** Reads the journal once it has as many runs as submissions were accepted, or has not grown for a while. */
+/** Reads the stand-in's journal. */
 json::array readJournal(boost::asio::io_context &io, HttpClient &http, const std::string &platform)
 {
     std::optional<HttpResult> result;
@@ -194,8 +191,8 @@
     fmt::print("starts a second {:.1f}\n", static_cast<double>(toStart.size()) / seconds);
     fmt::print("request to answer: {}\n", quantiles(std::move(toAnswer)));
     fmt::print("request to start: {}\n", quantiles(std::move(toStart)));
-    if (!load.m_lastError.empty()) {
-        fmt::print("last error: {}\n", load.m_lastError);
+    if (!load.lastError.empty()) {
+        fmt::print("last error: {}\n", load.lastError);
     }
     return repeated == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
