--- a/apps/flamingoctl/output.cpp
+++ b/apps/flamingoctl/output.cpp
@@ -98,12 +98,20 @@
         return;
     }
     for (const auto &it : *members) {
-        if (it.key() != "view" && it.key() != "tasks") {
+        if (!it.value().is_array() && it.key() != "view") {
             fmt::print("{}: {}\n", std::string_view(it.key().data(), it.key().size()), textOf(it.value()));
         }
     }
 }
 
+void printAge(const boost::json::value &json)
+{
+    if (textAt(json, "view.fresh") == "false") {
+        const auto daemon = textAt(json, "view.daemon");
+        fmt::print(stderr, "what {} knows is {} ms old\n", daemon, numberAt(json, "view.ageMs"));
+    }
+}
+
 void printError(const Session &session, const CtlAnswer &answer)
 {
     const auto name = nameOf(exitCodeTable, answer.code);
--- a/apps/flamingoctl/output.h
+++ b/apps/flamingoctl/output.h
@@ -25,7 +25,7 @@
 /** Prints the rows of an array in columns of equal width. */
 void printTable(const boost::json::value &rows, std::span<const Column> columns);
 
-/** Prints the members of an object, one a line, without those of the view. */
+/** Prints the members of an object, one a line, without lists and the view. */
 void printObject(const boost::json::value &object);
 
 /**
@@ -35,6 +35,9 @@
 template<typename Function>
 ExitCode print(const Session &session, const CtlAnswer &answer, Function &&printText);
 
+/** Tells on standard error how old an answer is, when it is older than the fence. */
+void printAge(const boost::json::value &json);
+
 /** Prints an error to standard error. */
 void printError(const Session &session, const CtlAnswer &answer);
 
@@ -52,6 +55,7 @@
         std::fputc('\n', stdout);
     } else {
         printText(answer.json);
+        printAge(answer.json);
     }
     return answer.code;
 }
--- /dev/null
+++ b/scripts/check-docs.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Runs the indented commands of a page as written, in order, and fails at the first that fails.
+# Usage: scripts/check-docs.sh docs/OPERATORS.md
+set -euo pipefail
+cd "$(dirname "$0")/.."
+commands=$(mktemp)
+trap 'rm -f "$commands"' EXIT
+{
+    echo 'set -euo pipefail'
+    echo 'trap '\''for it in $(jobs -p | tac); do kill "$it" && wait "$it" || true; done'\'' EXIT'
+    grep '^    ' "$1" | cut -c5-
+} >"$commands"
+bash "$commands"
+echo "every command of $1 ran"
