--- a/src/systems/worker_order.cpp
+++ b/src/systems/worker_order.cpp
@@ -61,9 +61,9 @@
     m_syncs.resize(node.workerLinks.capacity());
 }
 
-WorkerSync &OrderBook::syncOf(WorkerLinkRef link)
+WorkerSync &OrderBook::syncOf(WorkerLinkRef ref)
 {
-    return m_syncs[link.index];
+    return m_syncs[ref.index];
 }
 
 void OrderBook::consider(AttemptRef attempt, WorkerLinkRef ref)
