Gather records for 50 ms before the next read of the log

Each append woke the long poll of every daemon. Measured before, nine daemons at 87 starts a second: 116 KB/s and 4.4% of a core for each daemon. A daemon that awaits no own batch now puts its next read off to 50 ms after the last, so records that others append share one answer; one with a batch in flight reads at once, so its callers wait no longer.

--- a/src/systems/freshness.cpp
+++ b/src/systems/freshness.cpp
@@ -15,6 +15,7 @@
 constexpr Milliseconds readBackoff{50};
 constexpr Milliseconds longestReadBackoff{1'000};
 constexpr Milliseconds fetchInterval{200}; ///< Between fetches of records from peers.
+constexpr Milliseconds gatherInterval{50}; ///< Between reads while nothing of this daemon's own is awaited.
 
 /** Records that a read failed, and when the next may be tried. */
 void noteFailedRead(Node &node, const TickTime &time)
@@ -57,10 +58,25 @@
     }
 }
 
+/**
+ * Puts the next read off a little while no own batch waits to be read back: each record wakes the long poll of every
+ * daemon, and records that are read together share one answer.
+ */
+bool gathersRecords(Node &node, const TickTime &time)
+{
+    const auto gathered = node.view.lastReadAt + gatherInterval;
+    const bool isIdle = node.phase == NodePhase::Serving && !node.inFlight && node.view.fresh;
+    if (!isIdle || time.now >= gathered) {
+        return false;
+    }
+    wakeBy(node, gathered);
+    return true;
+}
+
 void askLog(Node &node, const TickTime &time)
 {
     auto &view = node.view;
-    if (view.reading || view.blocked || node.snapshot.phase == LoadPhase::Decoding) {
+    if (view.reading || view.blocked || node.snapshot.phase == LoadPhase::Decoding || gathersRecords(node, time)) {
         return;
     }
     if (time.now < view.nextReadAt) {
--- a/tests/snapshot_test.cpp
+++ b/tests/snapshot_test.cpp
@@ -158,6 +158,7 @@
         submitJobs(cell, 150);
         ++cell.world.daemons[0].node->tables.position.nextAttempt;
         submitJobs(cell, 150);
+        cell.pass(Milliseconds{1'000});
         const auto &astray = *cell.world.daemons[0].node;
         const auto &sound = *cell.world.daemons[1].node;
         CPPUNIT_ASSERT(astray.counters.digestMismatches > 0);
