Neither place nor start on hosts that leave by the list

Traced causes: a daemon that came back or took a worker over knew the list, or had not read it yet, while the record that marks the worker was not in the log; it placed, and started what others had placed, all the same. Placing and starting now need a host list read within the fence, and pass over hosts that it shows leaving or lacks. Ruled out: stale view (it was fresh), late start orders (bounds held). What remains: a host list that cannot be read for longer than the fence stops new starts.

--- a/src/systems/admission.cpp
+++ b/src/systems/admission.cpp
@@ -119,8 +119,7 @@
 {
     TeamRef team;
     const auto &spec = node.tables.profiles.get<ProfileSpec>(command.profile);
-    const bool mayPlace = node.view.fresh && node.phase == NodePhase::Serving;
-    if (mayPlace && teamOfSubmission(node.tables, spec, command.key, team) == Reason::None) {
+    if (teamOfSubmission(node.tables, spec, command.key, team) == Reason::None) {
         command.placements = planNewJob(node, command, team, time);
     }
 }
--- a/src/systems/host_list.cpp
+++ b/src/systems/host_list.cpp
@@ -166,6 +166,17 @@
     return it != node.hosts.end() && it->name == name ? &*it : nullptr;
 }
 
+bool knowsHosts(const Node &node, const TickTime &time)
+{
+    return node.hostsHeardAt != MonotonicTime{} && time.now - node.hostsHeardAt <= node.settings.fence;
+}
+
+bool leavesByList(const Node &node, const std::string &name)
+{
+    const auto *host = findHost(node, name);
+    return (host != nullptr && host->leaving) || node.missingSince.contains(name);
+}
+
 void proposeFromHostList(Node &node, const TickTime &time)
 {
     if (node.hostsChecked || node.hosts.empty() || !selfRef(node).isSet()) {
--- a/src/systems/new_job.cpp
+++ b/src/systems/new_job.cpp
@@ -83,11 +83,11 @@
 
 } // namespace
 
-std::vector<FirstPlacement> planNewJob(Node &node, const SubmitJob &job, TeamRef team, const TickTime & /*time*/)
+std::vector<FirstPlacement> planNewJob(Node &node, const SubmitJob &job, TeamRef team, const TickTime &time)
 {
     auto &state = node.scheduling;
-    const bool mayPlace = node.phase == NodePhase::Serving && node.view.fresh && state.hasPlan;
-    if (!mayPlace || !node.tables.teams.contains(team) || team.index >= state.scratch.teams.use.size()) {
+    if (!state.hasPlan || !mayPlace(node, time) || !node.tables.teams.contains(team)
+        || team.index >= state.scratch.teams.use.size()) {
         return {};
     }
     const auto &treatment = node.tables.profiles.get<ProfileSpec>(job.profile);
--- a/src/systems/scheduling.cpp
+++ b/src/systems/scheduling.cpp
@@ -1,6 +1,7 @@
 #include "systems/scheduling.h"
 
 #include "node_func.h"
+#include "systems/host_list.h"
 #include "systems/rendezvous.h"
 #include "systems/systems.h"
 
@@ -153,6 +154,29 @@
     proposeStops(node, stops, StopCause::Preempted, time);
 }
 
+/** Closes the room of a worker, when it is registered. */
+void closeRoom(Node &node, const std::string &worker)
+{
+    const auto known = findRef(node.tables.lookups.workers, worker);
+    auto &rooms = node.scheduling.scratch.rooms;
+    if (known.isSet() && known.index < rooms.size()) {
+        rooms.use[known.index] = RowUse::Closed;
+    }
+}
+
+/** Closes workers that leave by the host list, before the record that says so is in the log. */
+void closeLeavingHosts(Node &node)
+{
+    for (const auto &it : node.hosts) {
+        if (it.leaving) {
+            closeRoom(node, it.name);
+        }
+    }
+    for (const auto &[name, since] : node.missingSince) {
+        closeRoom(node, name);
+    }
+}
+
 /** Takes what proposals need from the room that the next plan sees. */
 void takeProposed(PlanScratch &scratch, const ProposedWork &proposed)
 {
@@ -183,6 +207,7 @@
     auto &state = node.scheduling;
     const auto now = estimateLogTime(node, time);
     fillRooms(state.scratch.rooms, node.tables, now);
+    closeLeavingHosts(node);
     fillTeamUse(state.scratch.teams, node.tables, state.scratch.rooms.capacity);
     const auto proposed = collectProposed(node);
     takeProposed(state.scratch, proposed);
@@ -221,9 +246,14 @@
     return isChosen(node, {reinterpret_cast<const char *>(id.data()), id.size()}, time);
 }
 
+bool mayPlace(const Node &node, const TickTime &time)
+{
+    return knowsHosts(node, time) && node.phase == NodePhase::Serving && node.view.fresh;
+}
+
 void schedulingSystem(Node &node, const TickTime &time)
 {
-    if (node.phase != NodePhase::Serving || !node.view.fresh) {
+    if (!mayPlace(node, time)) {
         return;
     }
     if (isPlanDue(node, time)) {
--- a/src/systems/scheduling.h
+++ b/src/systems/scheduling.h
@@ -47,6 +47,12 @@
  */
 void proposeStops(Node &node, const std::vector<AttemptNumber> &attempts, StopCause cause, const TickTime &time);
 
+/**
+ * Tells whether this daemon may propose placements: it serves, its view is fresh, and it has read the host list within
+ * the fence, so that it knows which workers leave.
+ */
+bool mayPlace(const Node &node, const TickTime &time);
+
 /** Tells whether this daemon, of all that live, sees to a job's waiting tasks. */
 bool isHomeOf(const Node &node, JobRef job, const TickTime &time);
 
--- a/src/systems/worker_order.cpp
+++ b/src/systems/worker_order.cpp
@@ -1,6 +1,7 @@
 #include "systems/worker_order.h"
 
 #include "attempt_func.h"
+#include "systems/host_list.h"
 #include "systems/worker_link.h"
 
 namespace flamingotally
@@ -82,10 +83,10 @@
     if (state.stop != StopCause::None) {
         orderStop(attempt, row, sync);
     } else if (!row.confirmed && m_node.view.fresh && !state.lapsing) {
-        if (isInService(m_node.tables, identity.worker)) {
-            orderStart(attempt, link, row, sync);
-        } else {
+        if (!isInService(m_node.tables, identity.worker)) {
             orderRevocation(attempt, row, sync);
+        } else if (knowsHosts(m_node, m_time) && !leavesByList(m_node, link.name)) {
+            orderStart(attempt, link, row, sync);
         }
     }
     if (row.confirmed && mayRenew(m_node, attempt)) {
--- a/tests/fakes/table_builder.cpp
+++ b/tests/fakes/table_builder.cpp
@@ -17,7 +17,9 @@
 {
     const auto name = "worker" + std::to_string(tables.workers.capacity());
     const auto domain = tables.racks.get<RackIdentity>(rack).domain;
-    return tables.workers.insert({name, {}, 1}, {domain, rack}, {total, {}, 0}, {});
+    const auto worker = tables.workers.insert({name, {}, 1}, {domain, rack}, {total, {}, 0}, {});
+    tables.lookups.workers[name] = worker;
+    return worker;
 }
 
 TeamRef TableBuilder::team(const std::string &name, std::uint32_t share, const Resources &limit)
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -24,6 +24,7 @@
     WorkerRef worker = builder.worker(builder.rack("r1", domain), manyCores);
     AttemptRef attempt;
     Node node;
+    bool hostsHeard = true; ///< Whether the host list was just read.
 
     explicit LeaseScene(CutOffRule whenCutOff = CutOffRule::Move)
     {
@@ -45,6 +46,7 @@
     std::vector<WorkerSync> run(Milliseconds at, bool isFresh = true)
     {
         node.view.fresh = isFresh;
+        node.hostsHeardAt = hostsHeard ? tickAt(at).now : MonotonicTime{};
         leaseSystem(node, tickAt(at));
         return std::exchange(node.outbox.workerSyncs, {});
     }
@@ -101,6 +103,7 @@
     CPPUNIT_TEST_SUITE(LeaseTest);
     CPPUNIT_TEST(startBoundsComeFromTheWorkersEcho);
     CPPUNIT_TEST(staleViewStartsNothing);
+    CPPUNIT_TEST(leavingHostStartsNothing);
     CPPUNIT_TEST(startIsSentAgainUntilReported);
     CPPUNIT_TEST(keptLeaseIsRenewedOnAStaleView);
     CPPUNIT_TEST(movableLeaseNeedsAFreshView);
@@ -138,6 +141,23 @@
         CPPUNIT_ASSERT(merged(scene.run(Milliseconds{20}, false)).starts.empty());
     }
 
+    void leavingHostStartsNothing()
+    {
+        LeaseScene scene;
+        scene.hostsHeard = false;
+        scene.run(Milliseconds{0});
+        scene.report(Milliseconds{10}, {});
+        CPPUNIT_ASSERT(merged(scene.run(Milliseconds{20})).starts.empty());
+        scene.hostsHeard = true;
+        HostRow row;
+        row.name = "worker0";
+        row.leaving = true;
+        scene.node.hosts = {row};
+        CPPUNIT_ASSERT(merged(scene.run(Milliseconds{1'000})).starts.empty());
+        scene.node.hosts.front().leaving = false;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, merged(scene.run(Milliseconds{2'000})).starts.size());
+    }
+
     void startIsSentAgainUntilReported()
     {
         LeaseScene scene;
--- a/tests/scheduling_test.cpp
+++ b/tests/scheduling_test.cpp
@@ -34,6 +34,8 @@
     CPPUNIT_TEST(proposesPlacementsOfItsOwnWorkers);
     CPPUNIT_TEST(proposesNothingTwice);
     CPPUNIT_TEST(proposesNothingOnAStaleView);
+    CPPUNIT_TEST(proposesNothingWithoutAHostList);
+    CPPUNIT_TEST(avoidsAWorkerThatLeavesByTheHostList);
     CPPUNIT_TEST(takesOverWhatIsOverdue);
     CPPUNIT_TEST(placesANewJobAtOnce);
     CPPUNIT_TEST(queuesANewJobBehindWaitingWork);
@@ -101,6 +103,31 @@
         CPPUNIT_ASSERT(placements().empty());
     }
 
+    void proposesNothingWithoutAHostList()
+    {
+        m_builder.worker(m_rack, cores(8));
+        addWaiting(cores(1), 2);
+        schedulingSystem(m_node, m_time);
+        CPPUNIT_ASSERT(placements().empty());
+        m_node.hostsHeardAt = m_time.now - m_node.settings.fence - Milliseconds{1};
+        schedulingSystem(m_node, m_time);
+        CPPUNIT_ASSERT(placements().empty());
+        schedule();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, placements().size());
+    }
+
+    void avoidsAWorkerThatLeavesByTheHostList()
+    {
+        const auto leaving = m_builder.worker(m_rack, cores(8));
+        HostRow row;
+        row.name = m_builder.tables.workers.get<WorkerIdentity>(leaving).name;
+        row.leaving = true;
+        m_node.hosts = {row};
+        addWaiting(cores(1), 2);
+        schedule();
+        CPPUNIT_ASSERT(placements().empty());
+    }
+
     void takesOverWhatIsOverdue()
     {
         const auto south = m_builder.domain("south");
@@ -388,6 +415,7 @@
 
     void schedule()
     {
+        m_node.hostsHeardAt = m_time.now;
         refresh();
         schedulingSystem(m_node, m_time);
     }
