Take back what has not started when a team's limit is lowered

A placement that its worker has not taken is now revoked while the team's live attempts exceed its limit, as it already was for a domain taken out. What runs already when a limit is lowered goes on.

--- a/src/systems/worker_order.cpp
+++ b/src/systems/worker_order.cpp
@@ -29,6 +29,14 @@
         && tables.workers.get<WorkerState>(worker).service != WorkerService::Leaving;
 }
 
+/** Tells whether a team's live attempts fit its limit, which may have been lowered since they were placed. */
+bool isWithinLimit(const Tables &tables, AttemptRef attempt)
+{
+    const auto task = tables.attempts.get<AttemptIdentity>(attempt).task;
+    const auto team = tables.jobs.get<JobIdentity>(tables.tasks.get<TaskIdentity>(task).job).team;
+    return tables.teams.get<TeamUse>(team).running.fitsInto(tables.teams.get<TeamPolicy>(team).limit);
+}
+
 /** Tells whether this daemon may prolong a lease. Reading a lapsing mark ends that for good. */
 bool mayRenew(const Node &node, AttemptRef attempt)
 {
@@ -83,7 +91,7 @@
     if (state.stop != StopCause::None) {
         orderStop(attempt, row, sync);
     } else if (!row.confirmed && m_node.view.fresh && !state.lapsing) {
-        if (!isInService(m_node.tables, identity.worker)) {
+        if (!isInService(m_node.tables, identity.worker) || !isWithinLimit(m_node.tables, attempt)) {
             orderRevocation(attempt, row, sync);
         } else if (knowsHosts(m_node, m_time) && !leavesByList(m_node, link.name)) {
             orderStart(attempt, link, row, sync);
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -104,6 +104,7 @@
     CPPUNIT_TEST(startBoundsComeFromTheWorkersEcho);
     CPPUNIT_TEST(staleViewStartsNothing);
     CPPUNIT_TEST(leavingHostStartsNothing);
+    CPPUNIT_TEST(loweredLimitTakesBackWhatHasNotStarted);
     CPPUNIT_TEST(startIsSentAgainUntilReported);
     CPPUNIT_TEST(keptLeaseIsRenewedOnAStaleView);
     CPPUNIT_TEST(movableLeaseNeedsAFreshView);
@@ -158,6 +159,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, merged(scene.run(Milliseconds{2'000})).starts.size());
     }
 
+    void loweredLimitTakesBackWhatHasNotStarted()
+    {
+        LeaseScene scene;
+        scene.run(Milliseconds{0});
+        scene.report(Milliseconds{10}, {});
+        const auto team = scene.node.tables.teams.at(0);
+        scene.node.tables.teams.get<TeamPolicy>(team).limit = {};
+        const auto orders = merged(scene.run(Milliseconds{20}));
+        CPPUNIT_ASSERT(orders.starts.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.stops.size());
+        CPPUNIT_ASSERT(orders.stops[0].onlyBeforeStart);
+    }
+
     void startIsSentAgainUntilReported()
     {
         LeaseScene scene;
