--- a/src/codec/cereal_func.h
+++ b/src/codec/cereal_func.h
@@ -184,6 +184,13 @@
 
 } // namespace flamingotally
 
+namespace flamingotally::dispatch
+{
+
+using flamingotally::serialize; // cereal looks for it beside the types
+
+} // namespace flamingotally::dispatch
+
 /** Tells cereal which output the archive reads. */
 template<>
 struct cereal::traits::detail::get_output_from_input<flamingotally::BoundedInputArchive> {
--- /dev/null
+++ b/src/codec/entry_settings_codec.cpp
@@ -0,0 +1,37 @@
+#include "codec/entry_settings_codec.h"
+
+#include "codec/settings_field.h"
+#include "dispatch/table/entry_settings_table.h"
+
+namespace flamingotally
+{
+
+using namespace dispatch;
+
+absl::Status EntrySettingsBuilder::addFile(const std::string &path)
+{
+    return readSettingsFile(entrySettingsTable, m_settings, path);
+}
+
+absl::Status EntrySettingsBuilder::addOverride(const std::string &assignment)
+{
+    return readSetting(entrySettingsTable, m_settings, assignment);
+}
+
+absl::StatusOr<EntrySettings> EntrySettingsBuilder::build() const
+{
+    if (m_settings.beatInterval * 2 > m_settings.ownerTimeout) {
+        return settingsError("ownerTimeoutMs must be at least twice beatIntervalMs");
+    }
+    if (m_settings.holdWait * 2 > m_settings.lease) {
+        return settingsError("leaseMs must be at least twice holdWaitMs");
+    }
+    return m_settings;
+}
+
+std::string printEntrySettings(const EntrySettings &settings)
+{
+    return writeSettings(entrySettingsTable, settings);
+}
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/codec/settings_field.h
@@ -0,0 +1,103 @@
+/** @file settings_field.h Reads and writes settings of any type by its table of fields. */
+#pragma once
+
+#include "codec/toml_field.h"
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace flamingotally
+{
+
+/** Makes the error of a setting. */
+inline absl::Status settingsError(std::string_view message)
+{
+    return makeError(absl::StatusCode::kInvalidArgument, Step::ReadSettings, "", message);
+}
+
+/** Reads the text of a value on the command line by the kind of its field. */
+inline FieldValue parseBareValue(FieldKind kind, const std::string &text)
+{
+    switch (kind) {
+    case FieldKind::Flag:
+        return text == "true" ? FieldValue(true) : text == "false" ? FieldValue(false) : FieldValue();
+    case FieldKind::Count:
+    case FieldKind::Duration:
+    case FieldKind::Bytes:
+    case FieldKind::MilliCores:
+    case FieldKind::Megabytes: {
+        std::int64_t number = 0;
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), number);
+        return ec == std::errc{} && end == text.data() + text.size() ? FieldValue(number) : FieldValue();
+    }
+    default:
+        return text;
+    }
+}
+
+/** Takes the values of a TOML text. */
+template<typename Rows, typename T>
+absl::Status readSettingsToml(const Rows &rows, T &settings, std::string_view text, const std::string &file)
+{
+    const auto table = parseToml(text, file);
+    if (!table.ok()) {
+        return table.status();
+    }
+    for (const auto &[key, node] : *table) {
+        if (auto status = readTomlField(rows, settings, key.str(), node, file); !status.ok()) {
+            return status;
+        }
+    }
+    return absl::OkStatus();
+}
+
+/** Takes the values of a TOML file. */
+template<typename Rows, typename T>
+absl::Status readSettingsFile(const Rows &rows, T &settings, const std::string &path)
+{
+    std::ifstream stream(path);
+    if (!stream) {
+        return makeError(absl::StatusCode::kNotFound, Step::ReadSettings, "", fmt::format("cannot read {}", path));
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return readSettingsToml(rows, settings, text.str(), path);
+}
+
+/** Takes one value as "key=value". */
+template<typename Rows, typename T>
+absl::Status readSetting(const Rows &rows, T &settings, const std::string &assignment)
+{
+    const auto equals = assignment.find('=');
+    if (equals == std::string::npos) {
+        return settingsError(fmt::format("'{}': expected key=value", assignment));
+    }
+    const auto key = assignment.substr(0, equals);
+    const auto *row = findField(rows, key);
+    if (!row) {
+        return settingsError(fmt::format("unknown key '{}'", key));
+    }
+    if (!assignField(settings, *row, parseBareValue(row->kind, assignment.substr(equals + 1)))) {
+        return settingsError(fmt::format("bad value of '{}': expected {}", key, expectedOf(*row)));
+    }
+    return absl::OkStatus();
+}
+
+/** Writes settings as TOML with a comment of text, unit and bounds over each. Secrets are left out. */
+template<typename Rows, typename T>
+std::string writeSettings(const Rows &rows, const T &settings)
+{
+    std::string text;
+    for (const auto &row : rows) {
+        text += fmt::format("# {} Expected: {}.\n", row.text, expectedOf(row));
+        if (row.kind == FieldKind::Secret) {
+            text += fmt::format("# {} is not printed.\n", row.name);
+            continue;
+        }
+        text += fmt::format("{} = {}\n", row.name, toToml(fieldOf(settings, row)));
+    }
+    return text;
+}
+
+} // namespace flamingotally
--- /dev/null
+++ b/src/dispatch/entry.cpp
@@ -0,0 +1,62 @@
+#include "dispatch/entry_func.h"
+
+namespace flamingotally::dispatch
+{
+
+namespace
+{
+
+constexpr Milliseconds leaseMargin{400}; ///< For clocks of workers that run slow, and for ticks that come late.
+
+} // namespace
+
+void write(Entry &entry, JournalWriter which, JournalRecord record, CallHandle handle)
+{
+    entry.writer(which).queue.push_back({std::move(record), handle});
+}
+
+std::uint64_t nextOwnerBatch(const Entry &entry)
+{
+    return entry.writers[static_cast<std::size_t>(JournalWriter::Owner)].batches + 1;
+}
+
+bool mayOrder(const Entry &entry, const TickTime &time)
+{
+    return entry.isOwner() && time.now - entry.ownership.contactAt < entry.settings.isolationLimit;
+}
+
+void resign(Entry &entry, std::string_view cause)
+{
+    auto &ownership = entry.ownership;
+    if (ownership.phase == OwnerPhase::Owner) {
+        ++entry.counters.resignations;
+        note(entry, EventKind::OwnershipLost, 0, "token={} cause={}", ownership.token, cause);
+    }
+    ownership.phase = OwnerPhase::Follower;
+    ownership.ownerWroteAt = entry.tickedAt;
+    entry.work = {};
+    entry.workers = {};
+    entry.advice.questions.clear();
+    entry.advice.wanted.clear();
+    auto &writer = entry.writer(JournalWriter::Owner);
+    const auto latency = writer.latency;
+    writer = {};
+    writer.latency = latency;
+}
+
+Milliseconds wallAt(const Entry &entry, MonotonicTime at)
+{
+    return at.time_since_epoch() + entry.wall.offset;
+}
+
+MonotonicTime monotonicAt(const Entry &entry, Milliseconds wall)
+{
+    return MonotonicTime{wall - entry.wall.offset};
+}
+
+Milliseconds isolationTail(const EntrySettings &settings)
+{
+    return settings.isolationLimit + settings.lease + leaseMargin;
+}
+
+} // namespace flamingotally::dispatch
--- /dev/null
+++ b/src/dispatch/entry_settings.h
@@ -0,0 +1,40 @@
+/** @file entry_settings.h Settings of an entry daemon that dispatches work through the platform's store. */
+#pragma once
+
+#include "core/time_type.h"
+#include "log_type.h"
+
+#include <cstdint>
+#include <string>
+
+namespace flamingotally::dispatch
+{
+
+/** Settings with their defaults. Bounds and texts: table/entry_settings_table.h. */
+struct EntrySettings {
+    std::string name = "entry";
+    std::string domain = "local";
+    std::string frontAddress = "127.0.0.1:8080";
+    std::string readyAddress = "127.0.0.1:8081";
+    std::string peerAddress = "127.0.0.1:8082";
+    std::string metricsAddress = "127.0.0.1:8083";
+    std::string storeAddress = "127.0.0.1:8070";
+    std::string adviceAddress{};
+    LogLevel logLevel = LogLevel::Info;
+    Milliseconds configFreshness{1'700}; ///< Older views of the configuration decide nothing.
+    Milliseconds journalGather{100}; ///< Pause of a follower between two reads of the journal.
+    Milliseconds ownerGather{8}; ///< Pause of the owner between two reads of the journal.
+    Milliseconds journalWait{500}; ///< How long a read of the journal may wait for a record.
+    Milliseconds beatInterval{400}; ///< The owner writes at least this often.
+    Milliseconds ownerTimeout{1'600}; ///< A journal in which the owner wrote nothing for so long has none.
+    Milliseconds claimStagger{60}; ///< Between the claims of two daemons that see it at once.
+    Milliseconds isolationLimit{8'000}; ///< An owner that cannot write gives no more orders after this time.
+    Milliseconds lease{5'500}; ///< Length of the leases of workers.
+    Milliseconds holdWait{1'000}; ///< How long a worker may wait for an end before it answers.
+    Milliseconds orderTimeout{700}; ///< For a start or a stop to be answered.
+    Milliseconds appendGather{10}; ///< Pause between two batches of a writer.
+    Milliseconds drainTime{3'000}; ///< How long a shutdown still takes new connections.
+    Milliseconds jobRetention{600'000}; ///< How long jobs that have ended are kept.
+};
+
+} // namespace flamingotally::dispatch
--- /dev/null
+++ b/src/dispatch/event_type.h
@@ -0,0 +1,84 @@
+/** @file event_type.h Events for the log: what happened, to which request, with what inputs. */
+#pragma once
+
+#include "core/enum_table.h"
+#include "dispatch/job_type.h"
+#include "log_type.h"
+
+#include <string>
+
+namespace flamingotally::dispatch
+{
+
+/** Kind of an event. */
+enum class EventKind : std::uint8_t {
+    Started,
+    Stopped,
+    Reloaded,
+    ConfigApplied,
+    JobAccepted,
+    CallRefused,
+    CallUndecided,
+    JobCancelled,
+    RunPlaced,
+    RunEnded,
+    RunLost,
+    StartRejected,
+    JobCompleted,
+    JobFailed,
+    OwnershipClaimed,
+    OwnershipTaken,
+    OwnershipLost,
+    StoreLost,
+    StoreRegained,
+    WorkerLost,
+    WorkerRegained,
+    WorkerReborn,
+    AdviceFailed,
+    StrayRun,
+    End,
+};
+
+/** What is said of a kind of event. */
+struct EventKindRow {
+    EventKind value;
+    std::string_view name; ///< Value of `event` in the log.
+    LogLevel level;
+};
+
+constexpr EnumTable<EventKind, EventKindRow> eventKindTable{{
+    {EventKind::Started, "started", LogLevel::Info},
+    {EventKind::Stopped, "stopped", LogLevel::Info},
+    {EventKind::Reloaded, "settings_reloaded", LogLevel::Info},
+    {EventKind::ConfigApplied, "config_applied", LogLevel::Info},
+    {EventKind::JobAccepted, "job_accepted", LogLevel::Info},
+    {EventKind::CallRefused, "call_refused", LogLevel::Warning},
+    {EventKind::CallUndecided, "call_undecided", LogLevel::Warning},
+    {EventKind::JobCancelled, "job_cancelled", LogLevel::Info},
+    {EventKind::RunPlaced, "run_placed", LogLevel::Info},
+    {EventKind::RunEnded, "run_ended", LogLevel::Info},
+    {EventKind::RunLost, "run_lost", LogLevel::Warning},
+    {EventKind::StartRejected, "start_rejected", LogLevel::Warning},
+    {EventKind::JobCompleted, "job_completed", LogLevel::Info},
+    {EventKind::JobFailed, "job_failed", LogLevel::Warning},
+    {EventKind::OwnershipClaimed, "ownership_claimed", LogLevel::Info},
+    {EventKind::OwnershipTaken, "ownership_taken", LogLevel::Info},
+    {EventKind::OwnershipLost, "ownership_lost", LogLevel::Warning},
+    {EventKind::StoreLost, "store_lost", LogLevel::Warning},
+    {EventKind::StoreRegained, "store_regained", LogLevel::Info},
+    {EventKind::WorkerLost, "worker_lost", LogLevel::Warning},
+    {EventKind::WorkerRegained, "worker_regained", LogLevel::Info},
+    {EventKind::WorkerReborn, "worker_reborn", LogLevel::Warning},
+    {EventKind::AdviceFailed, "advice_failed", LogLevel::Warning},
+    {EventKind::StrayRun, "stray_run", LogLevel::Warning},
+}};
+static_assert(isComplete(eventKindTable));
+
+/** One line for the log. */
+struct Event {
+    EventKind kind = EventKind::Started;
+    JobId job = 0; ///< Zero when it is about no job.
+    std::string fields; ///< Inputs and outcome as key=value pairs.
+};
+
+} // namespace flamingotally::dispatch
--- /dev/null
+++ b/src/dispatch/job.cpp
@@ -0,0 +1,59 @@
+#include "dispatch/job_base.h"
+
+namespace flamingotally::dispatch
+{
+
+JobPhase phaseOf(const JobState &state)
+{
+    if (state.failed) {
+        return JobPhase::Failed;
+    }
+    if (state.completed == state.occurrences.size()) {
+        return JobPhase::Completed;
+    }
+    if (state.cancelled) {
+        return JobPhase::Cancelled;
+    }
+    return state.begun ? JobPhase::Running : JobPhase::Queued;
+}
+
+bool hasEnded(const JobState &state)
+{
+    return state.failed || state.cancelled || state.completed == state.occurrences.size();
+}
+
+JobRef insertJob(Jobs &jobs, const AcceptedRecord &record)
+{
+    const auto [it, isNew] = jobs.byId.try_emplace(record.job);
+    if (!isNew) {
+        return {};
+    }
+    JobState state;
+    state.occurrences.resize(record.spec.occurrences());
+    it->second = jobs.table.insert(
+        {record.job, record.team, record.queue, record.acceptedAt}, {record.treatment, record.spec}, std::move(state));
+    return it->second;
+}
+
+void applyProgress(JobState &state, const ProgressRecord &record, std::uint64_t offset)
+{
+    if (record.occurrence >= state.occurrences.size()) {
+        return;
+    }
+    auto &occurrence = state.occurrences[record.occurrence];
+    if (offset < occurrence.offset) {
+        return;
+    }
+    const bool wasCompleted = occurrence.outcome == OccurrenceOutcome::Completed;
+    occurrence.begun = record.begun;
+    occurrence.outcome = record.outcome;
+    occurrence.offset = offset;
+    occurrence.tasks = record.tasks;
+    state.begun = state.begun || record.begun;
+    state.failed = state.failed || record.outcome == OccurrenceOutcome::Failed;
+    if (!wasCompleted && record.outcome == OccurrenceOutcome::Completed) {
+        ++state.completed;
+    }
+}
+
+} // namespace flamingotally::dispatch
--- /dev/null
+++ b/src/dispatch/policy/placer.h
@@ -0,0 +1,284 @@
+/** @file placer.h Places the tasks of one group: judges workers, counts room and limits. */
+#pragma once
+
+#include "dispatch/entry_func.h"
+#include "dispatch/policy/worker_choice.h"
+#include "dispatch/work_func.h"
+
+#include <algorithm>
+
+namespace flamingotally::dispatch
+{
+
+/** Whether a worker can take a task now. */
+enum class Fit : std::uint8_t {
+    Fits,
+    NeedsTicket, ///< It has room, but whether it may run the step is not known, or the ticket has expired.
+    NoRoom,
+    Unsuited,
+    End,
+};
+
+/** Room that is set aside while a gang is being placed. */
+struct Reservation {
+    TaskRef task;
+    WorkerRef worker;
+};
+
+/**
+ * Places tasks of one group.
+ * @tparam Choice Which worker is taken.
+ */
+template<WorkerChoice Choice>
+class Placer
+{
+public:
+    Placer(Entry &entry, GroupRef group, const TickTime &time)
+        : m_entry(entry), m_group(group), m_time(time), m_step(stepOf(entry, group)),
+          m_treatment(treatmentOf(entry, group)), m_need(roomOf(m_step))
+    {
+    }
+
+    /**
+     * Places what can be placed now.
+     * @return How many tasks were placed.
+     */
+    std::uint32_t place()
+    {
+        return m_step.gang ? placeGang() : placeSingles();
+    }
+
+    /** Tells whether a worker with room lacked only a ticket. */
+    bool lacksTickets() const
+    {
+        return m_lacksTickets;
+    }
+
+    /** Judges a worker for the group. */
+    Fit judge(WorkerRef worker) const
+    {
+        const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
+        if (!isUsable(worker, identity)) {
+            return Fit::Unsuited;
+        }
+        const auto room = identity.capacity - m_entry.workers.table.get<WorkerRoom>(worker).used - reservedOn(worker);
+        if (!m_need.fitsInto(room) || !allowsAnother(worker)) {
+            return Fit::NoRoom;
+        }
+        return judgeTicket(worker, identity);
+    }
+
+private:
+    static constexpr Milliseconds ticketMargin{200}; ///< For the order to arrive while the ticket is valid.
+    static constexpr Milliseconds heardWithin{1'900}; ///< Workers not heard for longer take nothing.
+
+    bool isUsable(WorkerRef worker, const WorkerIdentity &identity) const
+    {
+        const auto &health = m_entry.workers.table.get<WorkerHealth>(worker);
+        const auto &link = m_entry.workers.table.get<WorkerLink>(worker);
+        if (identity.pool != m_treatment.pool || !health.listed || health.draining || !link.known || link.silent > 0
+            || m_time.now < health.avoidUntil || m_time.now - link.heardAt > heardWithin) {
+            return false;
+        }
+        const auto &out = m_entry.config.domainsOut;
+        if (std::ranges::find(out, identity.domain) != out.end()) {
+            return false;
+        }
+        return m_step.requiredLabel.empty()
+            || std::ranges::find(identity.labels, m_step.requiredLabel) != identity.labels.end();
+    }
+
+    Resources reservedOn(WorkerRef worker) const
+    {
+        Resources sum;
+        for (const auto &it : m_reserved) {
+            if (it.worker == worker) {
+                sum += m_need;
+            }
+        }
+        return sum;
+    }
+
+    /** Tasks of the group that a worker has, those set aside included. */
+    std::uint32_t sameGroupOn(WorkerRef worker) const
+    {
+        std::uint32_t n = 0;
+        for (const auto run : m_entry.workers.table.get<WorkerRoom>(worker).runs) {
+            const auto task = m_entry.work.runs.get<RunIdentity>(run).task;
+            n += m_entry.work.tasks.get<TaskIdentity>(task).group == m_group ? 1 : 0;
+        }
+        for (const auto &it : m_reserved) {
+            n += it.worker == worker ? 1 : 0;
+        }
+        return n;
+    }
+
+    bool allowsAnother(WorkerRef worker) const
+    {
+        return m_step.maxPerWorker == 0 || sameGroupOn(worker) < m_step.maxPerWorker;
+    }
+
+    Fit judgeTicket(WorkerRef worker, const WorkerIdentity &identity) const
+    {
+        if (!m_treatment.advice.required) {
+            return Fit::Fits;
+        }
+        const auto &tickets = m_entry.work.groups.get<GroupAdvice>(m_group).byWorker;
+        const auto it = tickets.find(identity.id);
+        if (it == tickets.end()) {
+            return Fit::NeedsTicket;
+        }
+        if (!it->second.good) {
+            return Fit::Unsuited;
+        }
+        const bool isValid = it->second.validUntil - ticketMargin > m_time.now
+            && it->second.life == m_entry.workers.table.get<WorkerLink>(worker).life;
+        return isValid ? Fit::Fits : Fit::NeedsTicket;
+    }
+
+    Candidate describe(WorkerRef worker, const TaskState &task) const
+    {
+        const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
+        const auto &room = m_entry.workers.table.get<WorkerRoom>(worker);
+        Candidate it;
+        it.capacity = identity.capacity;
+        it.freeAfter = identity.capacity - room.used - reservedOn(worker) - m_need;
+        it.nearData = m_step.dataRack.empty() || m_step.dataRack == identity.rack;
+        it.isAvoided = task.avoid == worker;
+        it.disturbs = (m_step.fills && room.serving > 0) || (m_step.targetResponse.count() > 0 && room.filling > 0);
+        it.failedInRow = m_entry.workers.table.get<WorkerHealth>(worker).failedInRow;
+        return it;
+    }
+
+    /** Best worker for a task; unset when none fits. */
+    WorkerRef choose(const TaskState &task, const std::string &rack)
+    {
+        WorkerRef best;
+        double bestScore = 0;
+        m_entry.workers.table.forEach([&](WorkerRef worker) {
+            if (!rack.empty() && m_entry.workers.table.get<WorkerIdentity>(worker).rack != rack) {
+                return;
+            }
+            const auto fit = judge(worker);
+            m_lacksTickets = m_lacksTickets || fit == Fit::NeedsTicket;
+            if (fit != Fit::Fits) {
+                return;
+            }
+            const double score = Choice::score(describe(worker, task));
+            if (!best.isSet() || score > bestScore) {
+                best = worker;
+                bestScore = score;
+            }
+        });
+        return best;
+    }
+
+    /** Tells whether the team may have so much more. */
+    bool isWithinLimit(const Resources &more) const
+    {
+        const auto job = m_entry.work.groups.get<GroupIdentity>(m_group).job;
+        const auto &name = m_entry.jobs.table.get<JobIdentity>(job).team;
+        const auto &view = m_entry.config;
+        const auto team = view.teamByName.find(name);
+        if (team == view.teamByName.end()) {
+            return true;
+        }
+        const auto &limit = view.current.teams[team->second].limit;
+        const auto it = m_entry.work.teamUse.find(name);
+        const auto use = (it == m_entry.work.teamUse.end() ? Resources{} : it->second) + more;
+        const auto isWithin = [](std::int64_t amount, std::int64_t bound) {
+            return bound == 0 || amount <= bound;
+        };
+        return isWithin(use.cpuMilli, limit.cpuMilli) && isWithin(use.memoryMb, limit.memoryMb)
+            && isWithin(use.accelerators, limit.accelerators);
+    }
+
+    std::uint32_t placeSingles()
+    {
+        std::uint32_t placed = 0;
+        const auto tasks = m_entry.work.groups.get<GroupState>(m_group).tasks;
+        for (const auto it : tasks) {
+            const auto &task = m_entry.work.tasks.get<TaskState>(it);
+            if (task.phase != TaskPhase::Waiting) {
+                continue;
+            }
+            if (m_time.now < task.readyAt) {
+                m_entry.wakeBy(task.readyAt);
+                continue;
+            }
+            const auto worker = isWithinLimit(m_step.perTask) ? choose(task, {}) : WorkerRef{};
+            if (!worker.isSet()) {
+                break;
+            }
+            placeTask(m_entry, it, worker, task.lastRun + 1, m_time);
+            ++placed;
+        }
+        return placed;
+    }
+
+    /** Sets room aside for all members, in one rack when one is named. */
+    bool reserveAll(const std::vector<TaskRef> &tasks, const std::string &rack)
+    {
+        m_reserved.clear();
+        for (const auto it : tasks) {
+            const auto worker = choose(m_entry.work.tasks.get<TaskState>(it), rack);
+            if (!worker.isSet()) {
+                m_reserved.clear();
+                return false;
+            }
+            m_reserved.push_back({it, worker});
+        }
+        return true;
+    }
+
+    bool reserveInOneRack(const std::vector<TaskRef> &tasks)
+    {
+        std::vector<std::string> racks;
+        m_entry.workers.table.forEach([&](WorkerRef worker) {
+            const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
+            if (identity.pool == m_treatment.pool && std::ranges::find(racks, identity.rack) == racks.end()) {
+                racks.push_back(identity.rack);
+            }
+        });
+        return std::ranges::any_of(racks, [&](const std::string &rack) { return reserveAll(tasks, rack); });
+    }
+
+    std::uint32_t placeGang()
+    {
+        const auto tasks = m_entry.work.groups.get<GroupState>(m_group).tasks;
+        RunNumber number = 0;
+        std::string checkpoint;
+        for (const auto it : tasks) {
+            const auto &task = m_entry.work.tasks.get<TaskState>(it);
+            if (task.phase != TaskPhase::Waiting || task.run.isSet() || m_time.now < task.readyAt) {
+                return 0;
+            }
+            number = std::max(number, task.lastRun);
+            checkpoint = task.checkpoint.empty() ? checkpoint : task.checkpoint;
+        }
+        if (!isWithinLimit(m_step.perTask * static_cast<std::int64_t>(tasks.size()))) {
+            return 0;
+        }
+        const bool isReserved = (m_step.rackBound && reserveInOneRack(tasks)) || reserveAll(tasks, {});
+        if (!isReserved) {
+            return 0;
+        }
+        const auto reserved = std::exchange(m_reserved, {});
+        for (const auto &it : reserved) {
+            m_entry.work.tasks.get<TaskState>(it.task).checkpoint = checkpoint;
+            placeTask(m_entry, it.task, it.worker, number + 1, m_time);
+        }
+        return static_cast<std::uint32_t>(reserved.size());
+    }
+
+    Entry &m_entry;
+    GroupRef m_group;
+    const TickTime &m_time;
+    const StepSpec &m_step;
+    const Treatment &m_treatment;
+    Resources m_need;
+    std::vector<Reservation> m_reserved; ///< Room set aside for members of a gang.
+    bool m_lacksTickets = false;
+};
+
+} // namespace flamingotally::dispatch
--- /dev/null
+++ b/src/dispatch/ports.h
@@ -0,0 +1,60 @@
+/**
+ * @file ports.h What an entry daemon needs of the outside, as concepts. All calls return at once; answers arrive in the
+ * inboxes.
+ */
+#pragma once
+
+#include "core/clock.h"
+#include "dispatch/entry_base.h"
+
+#include <concepts>
+
+namespace flamingotally::dispatch
+{
+
+/** Keeps records by key. */
+template<typename T>
+concept Journal = requires(T &journal, const JournalReadOrder &read, const JournalBatch &batch)
+{
+    journal.read(read); // -> Inbox::journalReads
+    journal.append(batch); // -> Inbox::journalAnswers
+};
+
+/** Watches the list of workers while it is needed. */
+template<typename T>
+concept WorkerList = requires(T &list, bool on)
+{
+    list.watch(on); // -> Inbox::workerLists
+};
+
+/** Takes orders to workers. */
+template<typename T>
+concept WorkerOrders = requires(T &orders, const HoldOrder &hold, const StartOrder &start, const StopOrder &stop)
+{
+    orders.hold(hold); // -> Inbox::holdAnswers
+    orders.start(start); // -> Inbox::orderAnswers
+    orders.stop(stop); // -> Inbox::orderAnswers
+};
+
+/** Asks the policy service, itself or through another daemon. */
+template<typename T>
+concept Adviser = requires(T &adviser, const AdviceQuestion &question)
+{
+    adviser.ask(question); // -> Inbox::adviceAnswers
+};
+
+/** Hands answers back to callers. */
+template<typename T>
+concept AnswerSink = requires(T &sink, const CallerAnswer &answer)
+{
+    sink.answer(answer);
+};
+
+/** Takes lines of the log. Never waits. */
+template<typename T>
+concept EventSink = requires(T &sink, const Event &event, std::uint64_t &dropped)
+{
+    sink.write(event, dropped);
+};
+
+} // namespace flamingotally::dispatch
--- /dev/null
+++ b/src/dispatch/systems/expiry.cpp
@@ -0,0 +1,29 @@
+#include "dispatch/entry_func.h"
+#include "dispatch/systems/systems.h"
+
+namespace flamingotally::dispatch
+{
+
+void expirySystem(Entry &entry, const TickTime &time)
+{
+    constexpr Milliseconds scanInterval{5'000};
+    if (time.now < entry.expiryAt) {
+        return;
+    }
+    entry.expiryAt = time.now + scanInterval;
+    entry.jobs.table.forEach([&](JobRef job) {
+        const auto endedAt = entry.jobs.table.get<JobState>(job).endedAt;
+        if (endedAt == MonotonicTime{} || time.now - endedAt < entry.settings.jobRetention) {
+            return;
+        }
+        const auto id = entry.jobs.table.get<JobIdentity>(job).id;
+        if (entry.isOwner()) {
+            const auto occurrences = entry.jobs.table.get<JobState>(job).occurrences.size();
+            write(entry, JournalWriter::Owner, ForgottenRecord{id, static_cast<std::uint32_t>(occurrences)});
+        }
+        entry.jobs.byId.erase(id);
+        entry.jobs.table.erase(job);
+    });
+}
+
+} // namespace flamingotally::dispatch
--- /dev/null
+++ b/src/dispatch/systems/ownership.cpp
@@ -0,0 +1,132 @@
+#include "dispatch/entry_func.h"
+#include "dispatch/systems/systems.h"
+
+#include <absl/hash/hash.h>
+
+#include <algorithm>
+
+namespace flamingotally::dispatch
+{
+
+namespace
+{
+
+constexpr Milliseconds longestStagger{600};
+constexpr Milliseconds readLag{700}; ///< The journal must have been read this lately for silence to mean anything.
+constexpr std::uint64_t firstSequences = 1'000'000'007; ///< Claims of two daemons under one token differ in these.
+
+/** Place of this daemon in the order in which daemons claim after a token; differs from token to token. */
+std::size_t rankAfter(const Entry &entry, Token token)
+{
+    const auto keyOf = [token](const std::string &name) {
+        std::uint64_t hash = 14'695'981'039'346'656'037ULL ^ token;
+        for (const char c : name) {
+            hash = (hash ^ static_cast<unsigned char>(c)) * 1'099'511'628'211ULL;
+        }
+        return hash;
+    };
+    const auto own = keyOf(entry.settings.name);
+    std::size_t rank = 0;
+    for (const auto &[name, record] : entry.ownership.daemons) {
+        rank += keyOf(name) < own ? 1 : 0;
+    }
+    return rank;
+}
+
+/** Tells whether the owner of the newest claim is certainly no more: it gave up, or has started again since. */
+bool isOwnerGone(const Entry &entry)
+{
+    const auto &newest = entry.ownership.newest;
+    if (newest.owner.empty()) {
+        return true;
+    }
+    const auto it = entry.ownership.daemons.find(newest.owner);
+    return it != entry.ownership.daemons.end() && it->second.incarnation > newest.incarnation;
+}
+
+/** When this daemon may claim; far in the future while the journal shows an owner or cannot be read. */
+bool isClaimDue(Entry &entry, const TickTime &time)
+{
+    const auto &ownership = entry.ownership;
+    const auto &journal = entry.journal;
+    if (entry.phase != EntryPhase::Serving || journal.readingSince == MonotonicTime{}
+        || time.now - journal.asOf > readLag + entry.settings.journalWait || time.now < ownership.backoffUntil) {
+        return false;
+    }
+    const auto stagger = std::min<Milliseconds>(
+        entry.settings.claimStagger * static_cast<std::int64_t>(rankAfter(entry, ownership.newest.token)),
+        longestStagger);
+    const auto quietSince = std::max(ownership.ownerWroteAt, journal.readingSince);
+    const auto patience = isOwnerGone(entry) ? stagger : entry.settings.ownerTimeout + stagger;
+    const auto dueAt = quietSince + patience;
+    entry.wakeBy(dueAt);
+    return time.now >= dueAt && (isOwnerGone(entry) || journal.readAt >= quietSince + entry.settings.ownerTimeout);
+}
+
+void claim(Entry &entry, const TickTime &time)
+{
+    auto &ownership = entry.ownership;
+    ownership.phase = OwnerPhase::Claiming;
+    ownership.token = ownership.newest.token + 1;
+    ++entry.counters.claims;
+    auto &writer = entry.writer(JournalWriter::Owner);
+    const auto latency = writer.latency;
+    writer = {};
+    writer.latency = latency;
+    writer.epoch = ownership.token;
+    writer.sequence = 1 + absl::HashOf(entry.settings.name, entry.incarnation) % firstSequences;
+    write(entry, JournalWriter::Owner, ClaimRecord{entry.settings.name, entry.incarnation, ownership.token});
+    note(entry,
+         EventKind::OwnershipClaimed,
+         0,
+         "token={} former_owner={} silent_ms={}",
+         ownership.token,
+         ownership.newest.owner,
+         (time.now - ownership.ownerWroteAt).count());
+}
+
+void beat(Entry &entry, const TickTime &time)
+{
+    auto &writer = entry.writer(JournalWriter::Owner);
+    const auto dueAt = writer.sentAt + entry.settings.beatInterval;
+    entry.wakeBy(dueAt);
+    if (time.now >= dueAt && writer.queue.empty() && !writer.batch && entry.work.dirty.empty()) {
+        write(entry, JournalWriter::Owner, BeatRecord{entry.ownership.token});
+    }
+}
+
+} // namespace
+
+void ownershipSystem(Entry &entry, const TickTime &time)
+{
+    const bool isReady = entry.journal.loaded && entry.config.known;
+    if (entry.phase == EntryPhase::CatchingUp && isReady) {
+        entry.phase = EntryPhase::Serving;
+    }
+    if (!entry.introduced && entry.journal.loaded) {
+        entry.introduced = true;
+        write(entry,
+              JournalWriter::Entry,
+              DaemonRecord{entry.settings.name, entry.incarnation, entry.settings.domain, entry.settings.peerAddress});
+    }
+    auto &ownership = entry.ownership;
+    switch (ownership.phase) {
+    case OwnerPhase::Follower:
+        if (isClaimDue(entry, time)) {
+            claim(entry, time);
+        }
+        break;
+    case OwnerPhase::Owner:
+        if (entry.phase == EntryPhase::Draining) {
+            write(entry, JournalWriter::Owner, ClaimRecord{{}, 0, ownership.token});
+            ownership.phase = OwnerPhase::Releasing;
+            break;
+        }
+        beat(entry, time);
+        break;
+    default:
+        break;
+    }
+}
+
+} // namespace flamingotally::dispatch
--- /dev/null
+++ b/src/dispatch/systems/placement.cpp
@@ -0,0 +1,131 @@
+#include "dispatch/policy/group_order.h"
+#include "dispatch/policy/placer.h"
+#include "dispatch/systems/systems.h"
+
+#include <algorithm>
+
+namespace flamingotally::dispatch
+{
+
+namespace
+{
+
+constexpr double coresPerAccelerator = 8; ///< For comparing what teams hold.
+constexpr double milliPerCore = 1'000;
+constexpr Milliseconds passInterval{10}; ///< Least time between two passes over what waits.
+
+GroupView viewOf(const Entry &entry, GroupRef group)
+{
+    const auto &identity = entry.work.groups.get<GroupIdentity>(group);
+    const auto &treatment = treatmentOf(entry, group);
+    const auto &step = stepOf(entry, group);
+    GroupView view;
+    view.priority = treatment.priority;
+    view.endless = step.endless;
+    const auto &team = entry.jobs.table.get<JobIdentity>(identity.job).team;
+    const auto &config = entry.config;
+    if (const auto it = config.teamByName.find(team); it != config.teamByName.end()) {
+        const auto use = entry.work.teamUse.find(team);
+        const auto held = use == entry.work.teamUse.end() ? Resources{} : use->second;
+        const double cores = static_cast<double>(held.cpuMilli) / milliPerCore
+            + coresPerAccelerator * static_cast<double>(held.accelerators);
+        view.use = cores / std::max(config.current.teams[it->second].share, 1e-6);
+    }
+    const auto dueAt = entry.work.occurrences.get<OccurrenceWork>(identity.occurrence).dueAt;
+    const auto work =
+        Milliseconds(static_cast<std::int64_t>(treatment.stretch * static_cast<double>(step.runEstimate.count())));
+    view.objectiveAt = dueAt + work + treatment.targetLatency;
+    return view;
+}
+
+bool hasWaiting(const Entry &entry, GroupRef group)
+{
+    return std::ranges::any_of(entry.work.groups.get<GroupState>(group).tasks, [&](TaskRef it) {
+        return entry.work.tasks.get<TaskState>(it).phase == TaskPhase::Waiting;
+    });
+}
+
+/** Takes groups off the list that are gone or have nothing that waits. */
+void tidyWaiting(Entry &entry)
+{
+    std::erase_if(entry.work.waiting, [&](GroupRef it) {
+        if (!entry.work.groups.contains(it)) {
+            return true;
+        }
+        const bool waits = hasWaiting(entry, it);
+        entry.work.groups.get<GroupState>(it).listed = waits;
+        return !waits;
+    });
+}
+
+template<GroupOrder Order>
+void sortWaiting(Entry &entry)
+{
+    using Key = decltype(Order::key(GroupView{}));
+    std::vector<std::pair<Key, GroupRef>> keyed;
+    keyed.reserve(entry.work.waiting.size());
+    for (const auto it : entry.work.waiting) {
+        keyed.emplace_back(Order::key(viewOf(entry, it)), it);
+    }
+    std::ranges::sort(keyed);
+    for (std::size_t n = 0; n < keyed.size(); ++n) {
+        entry.work.waiting[n] = keyed[n].second;
+    }
+}
+
+void notePlaced(Entry &entry, GroupRef group, std::uint32_t placed, const TickTime &time)
+{
+    const auto &identity = entry.work.groups.get<GroupIdentity>(group);
+    const auto &state = entry.work.groups.get<GroupState>(group);
+    note(entry,
+         EventKind::RunPlaced,
+         entry.jobs.table.get<JobIdentity>(identity.job).id,
+         "step={} tasks={} of={} waited_ms={} config={}",
+         identity.step,
+         placed,
+         state.tasks.size(),
+         (time.now - state.openedAt).count(),
+         entry.config.current.version);
+}
+
+} // namespace
+
+void placementSystem(Entry &entry, const TickTime &time)
+{
+    entry.advice.wanted.clear();
+    if (!mayOrder(entry, time)) {
+        return;
+    }
+    openDueOccurrences(entry, time);
+    if (entry.work.waiting.empty()) {
+        entry.work.changed = false;
+        return;
+    }
+    if (time.now < entry.work.passAt) {
+        entry.wakeBy(entry.work.passAt);
+        return;
+    }
+    if (!entry.work.changed && time.now < entry.work.fullPassAt) {
+        entry.wakeBy(entry.work.fullPassAt);
+        return;
+    }
+    constexpr Milliseconds fullPassInterval{150};
+    entry.work.passAt = time.now + passInterval;
+    entry.work.fullPassAt = time.now + fullPassInterval;
+    entry.work.changed = false;
+    tidyWaiting(entry);
+    sortWaiting<FairOrder>(entry);
+    for (const auto group : entry.work.waiting) {
+        Placer<FitChoice> placer(entry, group, time);
+        if (const auto placed = placer.place(); placed > 0) {
+            notePlaced(entry, group, placed, time);
+        }
+        if (placer.lacksTickets() && hasWaiting(entry, group)) {
+            entry.advice.wanted.push_back(group);
+        }
+    }
+    tidyWaiting(entry);
+    entry.wakeBy(entry.work.fullPassAt);
+}
+
+} // namespace flamingotally::dispatch
--- /dev/null
+++ b/src/dispatch/systems/read_journal.cpp
@@ -0,0 +1,204 @@
+#include "dispatch/entry_func.h"
+#include "dispatch/systems/systems.h"
+#include "dispatch/work_func.h"
+
+#include <algorithm>
+
+namespace flamingotally::dispatch
+{
+
+namespace
+{
+
+constexpr Milliseconds retryPause{100};
+constexpr Milliseconds frozenAfter{1'000}; ///< Longer gaps between ticks mean that the process stood still.
+
+/** Applies records; one overload a kind. */
+class Applier
+{
+public:
+    Applier(Entry &entry, const TickTime &time, std::uint64_t offset, bool live)
+        : m_entry(entry), m_time(time), m_offset(offset), m_live(live)
+    {
+    }
+
+    void operator()(const AcceptedRecord &record)
+    {
+        const auto job = insertJob(m_entry.jobs, record);
+        if (job.isSet() && m_entry.isOwner()) {
+            openJob(m_entry, job, m_time);
+        }
+    }
+
+    void operator()(const CancelledRecord &record)
+    {
+        const auto it = m_entry.jobs.byId.find(record.job);
+        if (it == m_entry.jobs.byId.end()) {
+            return;
+        }
+        auto &state = m_entry.jobs.table.get<JobState>(it->second);
+        if (hasEnded(state)) {
+            return;
+        }
+        state.cancelled = true;
+        state.endedAt = m_time.now;
+        if (m_entry.isOwner()) {
+            closeJob(m_entry, it->second, m_time);
+        }
+    }
+
+    void operator()(const ProgressRecord &record)
+    {
+        noteOwner();
+        if (const auto it = m_entry.jobs.byId.find(record.job); it != m_entry.jobs.byId.end()) {
+            auto &state = m_entry.jobs.table.get<JobState>(it->second);
+            applyProgress(state, record, m_offset);
+            if (hasEnded(state) && state.endedAt == MonotonicTime{}) {
+                state.endedAt = m_time.now;
+            }
+        }
+    }
+
+    void operator()(const ClaimRecord &record)
+    {
+        noteOwner();
+        auto &ownership = m_entry.ownership;
+        const bool isRelease = record.token == ownership.newest.token && record.owner.empty();
+        if (record.token <= ownership.newest.token && !isRelease) {
+            return;
+        }
+        ownership.newest = record;
+        const bool isOwn = record.owner == m_entry.settings.name && record.incarnation == m_entry.incarnation;
+        if (isOwn && ownership.phase == OwnerPhase::Claiming && record.token == ownership.token) {
+            m_becomesOwner = true;
+        } else if (ownership.phase != OwnerPhase::Follower) {
+            resign(m_entry, "a newer claim was read");
+        }
+    }
+
+    void operator()(const DaemonRecord &record)
+    {
+        auto &known = m_entry.ownership.daemons[record.name];
+        if (record.incarnation >= known.incarnation) {
+            known = record;
+        }
+    }
+
+    void operator()(const BeatRecord & /*record*/)
+    {
+        noteOwner();
+    }
+
+    void operator()(const ForgottenRecord & /*record*/)
+    {
+    }
+
+    bool becomesOwner() const
+    {
+        return m_becomesOwner;
+    }
+
+private:
+    /** The newest record of a key may be old, so it does not show that the owner lives. */
+    void noteOwner()
+    {
+        if (m_live) {
+            m_entry.ownership.ownerWroteAt = m_time.now;
+        }
+    }
+
+    Entry &m_entry;
+    const TickTime &m_time;
+    std::uint64_t m_offset;
+    bool m_live;
+    bool m_becomesOwner = false;
+};
+
+void becomeOwner(Entry &entry, const TickTime &time)
+{
+    auto &ownership = entry.ownership;
+    ownership.phase = OwnerPhase::Owner;
+    ownership.claimedAt = time.now;
+    ownership.contactAt = time.now;
+    buildWork(entry, time);
+    note(entry,
+         EventKind::OwnershipTaken,
+         0,
+         "token={} jobs={} adopted_runs={}",
+         ownership.token,
+         entry.jobs.table.size(),
+         entry.work.runs.size());
+}
+
+void applyRead(Entry &entry, const JournalRead &read, const TickTime &time)
+{
+    auto &view = entry.journal;
+    bool becomesOwner = false;
+    for (const auto &it : read.entries) {
+        if (!it.record) {
+            continue;
+        }
+        Applier applier(entry, time, it.offset, !read.whole);
+        std::visit(applier, *it.record);
+        becomesOwner = becomesOwner || applier.becomesOwner();
+    }
+    view.nextOffset = std::max(view.nextOffset, read.nextOffset);
+    if (read.whole) {
+        view.loaded = true;
+        view.nextOffset = read.nextOffset;
+    }
+    view.asOf = std::max(view.asOf, read.askedAt);
+    view.readAt = time.now;
+    if (view.failures > 0) {
+        note(entry, EventKind::StoreRegained, 0, "offset={} failures={}", view.nextOffset, view.failures);
+    }
+    view.failures = 0;
+    if (view.readingSince == MonotonicTime{}) {
+        view.readingSince = time.now;
+    }
+    if (becomesOwner) {
+        becomeOwner(entry, time);
+    }
+}
+
+void noteFailure(Entry &entry, const JournalRead &read, const TickTime &time)
+{
+    auto &view = entry.journal;
+    if (view.failures++ == 0) {
+        note(entry, EventKind::StoreLost, 0, "offset={} expired={}", view.nextOffset, read.expired);
+    }
+    view.readingSince = {};
+    view.nextReadAt = time.now + retryPause;
+    view.loaded = view.loaded && !read.expired;
+}
+
+} // namespace
+
+void readJournalSystem(Entry &entry, const TickTime &time)
+{
+    auto &view = entry.journal;
+    if (entry.tickedAt != MonotonicTime{} && time.now - entry.tickedAt > frozenAfter) {
+        view.readingSince = {};
+    }
+    for (const auto &read : entry.inbox.journalReads) {
+        view.reading = false;
+        if (read.failed) {
+            noteFailure(entry, read, time);
+        } else {
+            applyRead(entry, read, time);
+            const auto gather = entry.isOwner() ? entry.settings.ownerGather : entry.settings.journalGather;
+            view.nextReadAt = time.now + gather;
+        }
+    }
+    if (view.reading) {
+        return;
+    }
+    if (time.now < view.nextReadAt) {
+        entry.wakeBy(view.nextReadAt);
+        return;
+    }
+    view.reading = true;
+    entry.outbox.readJournal = JournalReadOrder{!view.loaded, view.nextOffset, entry.settings.journalWait};
+}
+
+} // namespace flamingotally::dispatch
--- /dev/null
+++ b/src/dispatch/systems/worker_list.cpp
@@ -0,0 +1,91 @@
+#include "dispatch/entry_func.h"
+#include "dispatch/systems/systems.h"
+#include "dispatch/work_func.h"
+
+#include <absl/container/flat_hash_set.h>
+
+namespace flamingotally::dispatch
+{
+
+namespace
+{
+
+void applyListing(Entry &entry, const WorkerListing &listing, const TickTime &time)
+{
+    const auto worker = workerOf(entry, listing.id);
+    auto &identity = entry.workers.table.get<WorkerIdentity>(worker);
+    auto &health = entry.workers.table.get<WorkerHealth>(worker);
+    auto &link = entry.workers.table.get<WorkerLink>(worker);
+    identity.address = listing.address;
+    identity.pool = listing.pool;
+    identity.domain = listing.domain;
+    identity.rack = listing.rack;
+    identity.labels = listing.labels;
+    identity.capacity = listing.capacity;
+    if (!health.listed) {
+        link.holdAt = std::min(link.holdAt, time.now);
+    }
+    health.listed = true;
+    if (listing.draining && !health.draining) {
+        health.leavesAt = time.now + listing.remaining;
+    }
+    health.draining = listing.draining;
+    entry.work.changed = true;
+}
+
+/** The worker takes nothing more. Its runs end by its lists or by their lease. */
+void unlist(Entry &entry, WorkerRef worker)
+{
+    entry.workers.table.get<WorkerHealth>(worker).listed = false;
+}
+
+void unlistMissing(Entry &entry, const WorkerListRead &read)
+{
+    absl::flat_hash_set<std::string_view> present;
+    for (const auto &it : read.changes) {
+        present.insert(it.id);
+    }
+    entry.workers.table.forEach([&](WorkerRef worker) {
+        if (!present.contains(entry.workers.table.get<WorkerIdentity>(worker).id)) {
+            unlist(entry, worker);
+        }
+    });
+}
+
+/** Forgets workers that are gone and that nothing is thought to run on. */
+void eraseGone(Entry &entry)
+{
+    entry.workers.table.forEach([&](WorkerRef worker) {
+        const bool isNeeded = entry.workers.table.get<WorkerHealth>(worker).listed
+            || !entry.workers.table.get<WorkerRoom>(worker).runs.empty()
+            || !entry.workers.table.get<WorkerLink>(worker).pendingEnds.empty();
+        if (!isNeeded) {
+            entry.workers.byId.erase(entry.workers.table.get<WorkerIdentity>(worker).id);
+            entry.workers.table.erase(worker);
+        }
+    });
+}
+
+} // namespace
+
+void workerListSystem(Entry &entry, const TickTime &time)
+{
+    if (!entry.isOwner() || entry.inbox.workerLists.empty()) {
+        return;
+    }
+    for (const auto &read : entry.inbox.workerLists) {
+        if (read.whole) {
+            unlistMissing(entry, read);
+        }
+        for (const auto &listing : read.changes) {
+            if (!listing.removed) {
+                applyListing(entry, listing, time);
+            } else if (const auto it = entry.workers.byId.find(listing.id); it != entry.workers.byId.end()) {
+                unlist(entry, it->second);
+            }
+        }
+    }
+    eraseGone(entry);
+}
+
+} // namespace flamingotally::dispatch
--- /dev/null
+++ b/src/dispatch/systems/worker_report.cpp
@@ -0,0 +1,354 @@
+#include "dispatch/entry_func.h"
+#include "dispatch/systems/systems.h"
+#include "dispatch/table/dispatch_table.h"
+#include "dispatch/work_func.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+
+namespace flamingotally::dispatch
+{
+
+namespace
+{
+
+constexpr Milliseconds afterSilence{250}; ///< Next hold after one that went without an answer.
+constexpr Milliseconds resendPause{150};
+constexpr Milliseconds healthPause{2'000}; ///< A worker that calls itself unhealthy is left alone.
+constexpr Milliseconds failingPause{6'000}; ///< A worker on which everything fails is left alone.
+constexpr Milliseconds fullPause{300};
+constexpr std::uint32_t failuresInRow = 3; ///< Runs that fail in a row on a worker before it counts as failing.
+constexpr std::uint32_t maxSends = 4; ///< Starts sent without an answer before the run is given up.
+constexpr std::uint32_t silentHolds = 2; ///< Holds without an answer before a worker counts as silent.
+constexpr RunNumber numberSkip = 16; ///< Skipped when a worker has seen higher numbers of a task.
+constexpr int clockPercent = 103; ///< A lease may last so much longer by this daemon's clock.
+constexpr Milliseconds leaseMargin{200};
+
+/** Latest time by which a lease is over, when nothing renews it. */
+void judgeLease(WorkerLink &link)
+{
+    if (link.clockReadAt != MonotonicTime{}) {
+        const auto left = std::max(Milliseconds{0}, Milliseconds(link.leaseUntil - link.clock));
+        link.leaseOverAt = link.clockReadAt + left * clockPercent / 100 + leaseMargin;
+    }
+}
+
+void noteOutcome(Entry &entry, WorkerRef worker, RunEnd how, const TickTime &time)
+{
+    auto &health = entry.workers.table.get<WorkerHealth>(worker);
+    if (how == RunEnd::Done) {
+        health.failedInRow = 0;
+    } else if (how == RunEnd::Failed && ++health.failedInRow >= failuresInRow) {
+        health.avoidUntil = time.now + failingPause;
+        health.failedInRow = failuresInRow - 1;
+    }
+}
+
+/** A worker has started again: nothing of its earlier life runs. */
+void beginLife(Entry &entry, WorkerRef worker, std::uint64_t life, const TickTime &time)
+{
+    auto &link = entry.workers.table.get<WorkerLink>(worker);
+    const bool isReborn = link.life != 0;
+    link.life = life;
+    link.endsSeen = 0;
+    link.endsStored = 0;
+    link.endsAcknowledged = 0;
+    link.pendingEnds.clear();
+    if (!isReborn) {
+        return;
+    }
+    link.leaseUntil = {};
+    note(entry, EventKind::WorkerReborn, 0, "worker={}", entry.workers.table.get<WorkerIdentity>(worker).id);
+    const auto runs = entry.workers.table.get<WorkerRoom>(worker).runs;
+    for (const auto run : runs) {
+        if (entry.work.runs.contains(run) && entry.work.runs.get<RunState>(run).phase == RunPhase::Running) {
+            endRun(entry, run, RunEnd::Lapsed, {}, time);
+        }
+    }
+}
+
+/** Run of ours that a row names; unset when there is none. */
+RunRef findRun(const Entry &entry, WorkerRef worker, const TaskName &task, RunNumber number)
+{
+    const auto it = entry.work.runByTask.find(task);
+    if (it == entry.work.runByTask.end()) {
+        return {};
+    }
+    const auto &identity = entry.work.runs.get<RunIdentity>(it->second);
+    return identity.worker == worker && identity.number == number ? it->second : RunRef{};
+}
+
+void stopStray(Entry &entry, WorkerRef worker, const RunningRow &row)
+{
+    const auto &identity = entry.workers.table.get<WorkerIdentity>(worker);
+    note(entry, EventKind::StrayRun, row.task.job, "worker={} run={}", identity.id, row.run);
+    entry.outbox.stops.push_back({{}, worker, row.task, row.run, identity.id, identity.address, entry.ownership.token});
+}
+
+void applyRunning(Entry &entry, const HoldAnswer &answer, absl::flat_hash_set<std::uint32_t> &seen)
+{
+    for (const auto &row : answer.running) {
+        const auto run = findRun(entry, answer.worker, row.task, row.run);
+        if (!run.isSet()) {
+            stopStray(entry, answer.worker, row);
+            continue;
+        }
+        seen.insert(run.index);
+        auto &state = entry.work.runs.get<RunState>(run);
+        if (state.phase == RunPhase::Ordered || state.phase == RunPhase::Unverified) {
+            state.phase = RunPhase::Running;
+            state.settledAt = answer.receivedAt;
+        }
+        if (state.percent != row.percent) {
+            state.percent = row.percent;
+            state.movedAt = answer.receivedAt;
+        }
+        if (!row.checkpoint.empty()) {
+            entry.work.tasks.get<TaskState>(entry.work.runs.get<RunIdentity>(run).task).checkpoint = row.checkpoint;
+        }
+    }
+}
+
+void applyEnds(Entry &entry, const HoldAnswer &answer, const TickTime &time)
+{
+    for (const auto &row : answer.ended) {
+        if (row.number <= entry.workers.table.get<WorkerLink>(answer.worker).endsSeen) {
+            continue;
+        }
+        if (const auto run = findRun(entry, answer.worker, row.task, row.run); run.isSet()) {
+            noteOutcome(entry, answer.worker, row.how, time);
+            endRun(entry, run, row.how, row.checkpoint, time);
+        }
+        auto &link = entry.workers.table.get<WorkerLink>(answer.worker);
+        link.endsSeen = row.number;
+        link.pendingEnds.push_back({row.number, nextOwnerBatch(entry)});
+    }
+}
+
+/** Tells whether a run that is on neither list can be judged by them. */
+bool isSettledBefore(const RunState &state, MonotonicTime sentAt)
+{
+    switch (state.phase) {
+    case RunPhase::Running:
+        return state.settledAt < sentAt;
+    case RunPhase::Stopping:
+        return state.stopTaken && state.settledAt < sentAt;
+    case RunPhase::Unverified:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/** Runs that should be on the lists and are not: they never began, or are gone. */
+void applyMissing(Entry &entry,
+                  const HoldAnswer &answer,
+                  const absl::flat_hash_set<std::uint32_t> &seen,
+                  const TickTime &time)
+{
+    const auto runs = entry.workers.table.get<WorkerRoom>(answer.worker).runs;
+    for (const auto run : runs) {
+        if (!entry.work.runs.contains(run) || seen.contains(run.index)) {
+            continue;
+        }
+        const auto &state = entry.work.runs.get<RunState>(run);
+        if (!isSettledBefore(state, answer.sentAt)) {
+            continue;
+        }
+        if (state.phase == RunPhase::Running) {
+            endRun(entry, run, RunEnd::Lapsed, {}, time);
+        } else {
+            forgetRun(entry, run, time);
+        }
+    }
+}
+
+void noteSilence(Entry &entry, const HoldAnswer &answer, const TickTime &time)
+{
+    auto &link = entry.workers.table.get<WorkerLink>(answer.worker);
+    const auto &identity = entry.workers.table.get<WorkerIdentity>(answer.worker);
+    if (answer.result == OrderResult::Gone) {
+        endAllRuns(entry, answer.worker, "another worker has its address", time);
+        entry.workers.table.get<WorkerHealth>(answer.worker).listed = false;
+        link.holdAt = time.now + healthPause;
+        return;
+    }
+    if (++link.silent == silentHolds) {
+        note(entry,
+             EventKind::WorkerLost,
+             0,
+             "worker={} address={} lease_left_ms={} runs={}",
+             identity.id,
+             identity.address,
+             (link.leaseOverAt - time.now).count(),
+             entry.workers.table.get<WorkerRoom>(answer.worker).runs.size());
+    }
+    link.holdAt = time.now + afterSilence;
+}
+
+void takeHold(Entry &entry, const HoldAnswer &answer, const TickTime &time)
+{
+    if (!entry.workers.table.contains(answer.worker) || answer.token != entry.ownership.token) {
+        return;
+    }
+    entry.workers.table.get<WorkerLink>(answer.worker).inFlight = false;
+    if (answer.result == OrderResult::Fenced) {
+        resign(entry, "a worker has seen a newer owner");
+        return;
+    }
+    if (answer.result != OrderResult::Accepted) {
+        noteSilence(entry, answer, time);
+        return;
+    }
+    if (entry.workers.table.get<WorkerLink>(answer.worker).life != answer.life) {
+        beginLife(entry, answer.worker, answer.life, time);
+    }
+    auto &link = entry.workers.table.get<WorkerLink>(answer.worker);
+    if (link.silent >= silentHolds) {
+        note(entry,
+             EventKind::WorkerRegained,
+             0,
+             "worker={}",
+             entry.workers.table.get<WorkerIdentity>(answer.worker).id);
+    }
+    entry.work.changed = entry.work.changed || !link.known || link.silent > 0;
+    link.silent = 0;
+    link.known = true;
+    link.heardAt = time.now;
+    link.clock = answer.clock;
+    link.clockReadAt = answer.receivedAt;
+    judgeLease(link);
+    link.holdAt = time.now;
+    absl::flat_hash_set<std::uint32_t> seen;
+    applyRunning(entry, answer, seen);
+    applyEnds(entry, answer, time);
+    applyMissing(entry, answer, seen, time);
+}
+
+void giveUpStart(Entry &entry, RunRef run, const TickTime &time)
+{
+    const auto &state = entry.work.runs.get<RunState>(run);
+    if (state.mayHaveArrived) {
+        stopRun(entry, run, time);
+    } else {
+        forgetRun(entry, run, time);
+    }
+}
+
+/** A start was rejected: the order did nothing, but an earlier one may have. */
+void rejectStart(Entry &entry, RunRef run, OrderResult result, const TickTime &time)
+{
+    const auto identity = entry.work.runs.get<RunIdentity>(run);
+    auto &health = entry.workers.table.get<WorkerHealth>(identity.worker);
+    const auto group = entry.work.tasks.get<TaskIdentity>(identity.task).group;
+    auto &task = entry.work.tasks.get<TaskState>(identity.task);
+    ++entry.counters.rejectedStarts;
+    note(entry,
+         EventKind::StartRejected,
+         nameOf(entry, identity.task).job,
+         "run={} worker={} result={}",
+         identity.number,
+         entry.workers.table.get<WorkerIdentity>(identity.worker).id,
+         flamingotally::nameOf(orderResultTable, result));
+    if (result == OrderResult::Superseded) {
+        task.lastRun += numberSkip;
+    } else if (result == OrderResult::NoRoom) {
+        health.avoidUntil = std::max(health.avoidUntil, time.now + fullPause);
+    } else if (result == OrderResult::NoTicket) {
+        entry.work.groups.get<GroupAdvice>(group).byWorker.erase(
+            entry.workers.table.get<WorkerIdentity>(identity.worker).id);
+    } else if (result == OrderResult::Unhealthy) {
+        health.avoidUntil = std::max(health.avoidUntil, time.now + healthPause);
+    } else if (result == OrderResult::Malformed) {
+        task.readyAt = time.now + healthPause;
+    }
+    giveUpStart(entry, run, time);
+}
+
+void takeStart(Entry &entry, const OrderAnswer &answer, const TickTime &time)
+{
+    auto &state = entry.work.runs.get<RunState>(answer.run);
+    state.inFlight = false;
+    const bool isOpen = state.phase == RunPhase::Ordered;
+    switch (answer.result) {
+    case OrderResult::Accepted:
+        if (isOpen) {
+            state.phase = RunPhase::Running;
+            state.settledAt = answer.receivedAt;
+            ++entry.counters.starts;
+        }
+        break;
+    case OrderResult::Gone:
+        endAllRuns(entry, entry.work.runs.get<RunIdentity>(answer.run).worker, "another worker has its address", time);
+        break;
+    case OrderResult::NoAnswer:
+        state.mayHaveArrived = true;
+        ++entry.counters.unansweredOrders;
+        [[fallthrough]];
+    case OrderResult::NeverSent:
+        state.sendAt = time.now + resendPause;
+        if (isOpen && state.sends >= maxSends) {
+            giveUpStart(entry, answer.run, time);
+        }
+        break;
+    default:
+        if (isOpen) {
+            rejectStart(entry, answer.run, answer.result, time);
+        }
+        break;
+    }
+}
+
+void takeStop(Entry &entry, const OrderAnswer &answer, const TickTime &time)
+{
+    auto &state = entry.work.runs.get<RunState>(answer.run);
+    state.inFlight = false;
+    if (answer.result == OrderResult::Accepted) {
+        state.stopTaken = true;
+        state.settledAt = answer.receivedAt;
+        auto &link = entry.workers.table.get<WorkerLink>(entry.work.runs.get<RunIdentity>(answer.run).worker);
+        link.holdAt = std::min(link.holdAt, time.now);
+    } else if (answer.result == OrderResult::Gone) {
+        endAllRuns(entry, entry.work.runs.get<RunIdentity>(answer.run).worker, "another worker has its address", time);
+    } else {
+        state.sendAt = time.now + resendPause;
+    }
+}
+
+void takeOrder(Entry &entry, const OrderAnswer &answer, const TickTime &time)
+{
+    if (answer.token != entry.ownership.token) {
+        return;
+    }
+    if (answer.result == OrderResult::Fenced) {
+        resign(entry, "a worker has seen a newer owner");
+        return;
+    }
+    if (!entry.work.runs.contains(answer.run)) {
+        return;
+    }
+    if (answer.kind == OrderKind::Start) {
+        takeStart(entry, answer, time);
+    } else {
+        takeStop(entry, answer, time);
+    }
+}
+
+} // namespace
+
+void workerReportSystem(Entry &entry, const TickTime &time)
+{
+    for (const auto &it : entry.inbox.orderAnswers) {
+        if (entry.isOwner()) {
+            takeOrder(entry, it, time);
+        }
+    }
+    for (const auto &it : entry.inbox.holdAnswers) {
+        if (entry.isOwner()) {
+            takeHold(entry, it, time);
+        }
+    }
+}
+
+} // namespace flamingotally::dispatch
--- /dev/null
+++ b/src/dispatch/table/dispatch_table.h
@@ -0,0 +1,53 @@
+/** @file dispatch_table.h Names of the enumerations of dispatched work, for messages, logs and metrics. */
+#pragma once
+
+#include "core/enum_table.h"
+#include "dispatch/message_type.h"
+
+namespace flamingotally::dispatch
+{
+
+constexpr EnumTable<JobPhase> jobPhaseTable{{
+    {JobPhase::Queued, "queued"},
+    {JobPhase::Running, "running"},
+    {JobPhase::Completed, "completed"},
+    {JobPhase::Failed, "failed"},
+    {JobPhase::Cancelled, "cancelled"},
+}};
+static_assert(isComplete(jobPhaseTable));
+
+constexpr EnumTable<RunEnd> runEndTable{{
+    {RunEnd::Done, "done"},
+    {RunEnd::Failed, "failed"},
+    {RunEnd::Stopped, "stopped"},
+    {RunEnd::Lapsed, "lapsed"},
+    {RunEnd::Broken, "broken"},
+    {RunEnd::Alone, "alone"},
+}};
+static_assert(isComplete(runEndTable));
+
+constexpr EnumTable<RunPhase> runPhaseTable{{
+    {RunPhase::Planned, "planned"},
+    {RunPhase::Ordered, "ordered"},
+    {RunPhase::Running, "running"},
+    {RunPhase::Stopping, "stopping"},
+    {RunPhase::Unverified, "unverified"},
+}};
+static_assert(isComplete(runPhaseTable));
+
+constexpr EnumTable<OrderResult> orderResultTable{{
+    {OrderResult::Accepted, "accepted"},
+    {OrderResult::Fenced, "fenced"},
+    {OrderResult::Superseded, "superseded"},
+    {OrderResult::Late, "late"},
+    {OrderResult::NoRoom, "no_room"},
+    {OrderResult::NoTicket, "no_ticket"},
+    {OrderResult::Malformed, "malformed"},
+    {OrderResult::Unhealthy, "unhealthy"},
+    {OrderResult::Gone, "gone"},
+    {OrderResult::NeverSent, "never_sent"},
+    {OrderResult::NoAnswer, "no_answer"},
+}};
+static_assert(isComplete(orderResultTable));
+
+} // namespace flamingotally::dispatch
--- a/src/net/clock.cpp
+++ b/src/net/clock.cpp
@@ -1,14 +1,17 @@
 #include "net/clock.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace flamingotally
 {
 
 MonotonicTime SystemClock::now() const
 {
-    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-    return MonotonicTime{std::chrono::duration_cast<Milliseconds>(sinceStart)};
+    timespec reading{};
+    clock_gettime(CLOCK_BOOTTIME, &reading);
+    const auto sinceBoot = std::chrono::seconds(reading.tv_sec) + std::chrono::nanoseconds(reading.tv_nsec);
+    return MonotonicTime{std::chrono::duration_cast<Milliseconds>(sinceBoot)};
 }
 
 WallTime SystemClock::wallNow() const
--- a/src/net/clock.h
+++ b/src/net/clock.h
@@ -10,6 +10,7 @@
 class SystemClock
 {
 public:
+    /** Time since the machine's boot. Counts the time for which the machine was suspended, as leases do. */
     MonotonicTime now() const;
     WallTime wallNow() const;
 };
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -134,6 +134,16 @@
     state.links.erase(ref);
 }
 
+/** Closes what is idle towards an address where a call went without an answer: the others may be as silent. */
+void closeIdle(State &state, const std::string &address)
+{
+    if (const auto it = state.idle.find(address); it != state.idle.end()) {
+        for (const auto ref : std::exchange(it->second, {})) {
+            state.links.erase(ref);
+        }
+    }
+}
+
 /** Sends and receives on an open connection. */
 awaitable<HttpResult> exchange(beast::tcp_stream &stream, HttpCall &call, bool &keepAlive)
 {
@@ -189,6 +199,9 @@
     }
     bool keepAlive = false;
     auto result = co_await exchange(stream, call, keepAlive);
+    if (!result.ok()) {
+        closeIdle(*state, call.address);
+    }
     if (keepAlive) {
         giveBack(*state, call.address, ref);
     } else {
--- a/src/net/tick_loop.cpp
+++ b/src/net/tick_loop.cpp
@@ -1,9 +1,12 @@
 #include "net/tick_loop.h"
 
+#include "net/clock.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace flamingotally
@@ -12,12 +15,14 @@
 namespace asio = boost::asio;
 
 struct TickLoop::State {
-    State(asio::io_context &context, TickFunction function) : io(context), tick(std::move(function)), timer(context)
+    State(asio::io_context &context, TickFunction function, Milliseconds pause)
+        : io(context), tick(std::move(function)), gather(pause), timer(context)
     {
     }
 
     asio::io_context &io;
     TickFunction tick;
+    Milliseconds gather;
     asio::steady_timer timer;
     bool isWoken = false; ///< A tick is posted.
     bool isStopped = false;
@@ -38,7 +43,7 @@
         return;
     }
     const auto next = state->tick();
-    state->timer.expires_at(asio::steady_timer::time_point(next.time_since_epoch()));
+    state->timer.expires_after(std::max(next - SystemClock().now(), Milliseconds::zero()));
     state->timer.async_wait([state](const boost::system::error_code &ec) {
         if (!ec) {
             wakeLoop(state);
@@ -48,14 +53,25 @@
 
 void wakeLoop(const StatePtr &state)
 {
-    if (!std::exchange(state->isWoken, true)) {
+    if (std::exchange(state->isWoken, true)) {
+        return;
+    }
+    if (state->gather == Milliseconds::zero()) {
         asio::post(state->io, [state] { runTick(state); });
+        return;
     }
+    state->timer.expires_after(state->gather);
+    state->timer.async_wait([state](const boost::system::error_code &ec) {
+        if (!ec) {
+            runTick(state);
+        }
+    });
 }
 
 } // namespace
 
-TickLoop::TickLoop(asio::io_context &io, TickFunction tick) : m_state(std::make_shared<State>(io, std::move(tick)))
+TickLoop::TickLoop(asio::io_context &io, TickFunction tick, Milliseconds gather)
+    : m_state(std::make_shared<State>(io, std::move(tick), gather))
 {
 }
 
--- a/src/net/tick_loop.h
+++ b/src/net/tick_loop.h
@@ -25,8 +25,9 @@
      * Makes a loop that sleeps until the first wake().
      * @param io Runs it.
      * @param tick Runs one tick.
+     * @param gather Pause between an event and its tick, in which further events join it.
      */
-    TickLoop(boost::asio::io_context &io, TickFunction tick);
+    TickLoop(boost::asio::io_context &io, TickFunction tick, Milliseconds gather = Milliseconds::zero());
     TickLoop(const TickLoop &) = delete;
     TickLoop &operator=(const TickLoop &) = delete;
     ~TickLoop();
--- a/src/ports.h
+++ b/src/ports.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "core/clock.h"
 #include "message_type.h"
 #include "tables.h"
 
@@ -12,18 +13,6 @@
 namespace flamingotally
 {
 
-/** Reads time. */
-template<typename T>
-concept Clock = requires(const T &clock)
-{
-    {
-        clock.now()
-        } -> std::same_as<MonotonicTime>;
-    {
-        clock.wallNow()
-        } -> std::same_as<WallTime>;
-};
-
 /** Appends to the log and reads it from an offset on. */
 template<typename T>
 concept LogClient = requires(T &client, const Batch &batch, std::uint64_t offset)
