--- a/src/codec/entry_settings_codec.cpp
+++ b/src/dispatch/codec/entry_settings_codec.cpp
@@ -1,4 +1,4 @@
-#include "codec/entry_settings_codec.h"
+#include "dispatch/codec/entry_settings_codec.h"
 
 #include "codec/settings_field.h"
 #include "dispatch/table/entry_settings_table.h"
--- a/src/codec/journal_codec.cpp
+++ b/src/dispatch/codec/journal_codec.cpp
@@ -1,4 +1,4 @@
-#include "codec/journal_codec.h"
+#include "dispatch/codec/journal_codec.h"
 
 #include "codec/cereal_func.h"
 #include "core/enum_table.h"
--- a/src/net/advice_relay.cpp
+++ b/src/dispatch/net/advice_relay.cpp
@@ -1,6 +1,6 @@
-#include "net/advice_relay.h"
+#include "dispatch/net/advice_relay.h"
 
-#include "codec/journal_codec.h"
+#include "dispatch/codec/journal_codec.h"
 
 #include <utility>
 
--- a/src/net/event_log.cpp
+++ b/src/dispatch/net/event_log.cpp
@@ -1,4 +1,4 @@
-#include "net/event_log.h"
+#include "dispatch/net/event_log.h"
 
 #include "net/clock.h"
 #include "table/log_table.h"
--- a/src/key_func.h
+++ b/src/key_func.h
@@ -1,6 +1,7 @@
 /** @file key_func.h Keys: their digests, and what a bearer may do. Keys themselves are never stored or logged. */
 #pragma once
 
+#include "key_digest.h"
 #include "reason_type.h"
 #include "settings_type.h"
 #include "tables.h"
@@ -12,22 +13,6 @@
 namespace flamingotally
 {
 
-/** SHA-256 of a key. */
-KeyDigest digestOfKey(std::string_view key);
-
-/**
- * Parses a digest.
- * @param text 64 hexadecimal digits.
- * @return The digest, or nothing when the text is something else.
- */
-std::optional<KeyDigest> parseKeyDigest(std::string_view text);
-
-/** Writes a digest in hexadecimal. */
-std::string toString(const KeyDigest &digest);
-
-/** Compares two digests in a time that does not depend on where they differ. */
-bool isEqualInConstantTime(const KeyDigest &left, const KeyDigest &right);
-
 /** Finds the key of a digest, withdrawn or not; unset when there is none. Compares with every key. */
 KeyRef findKey(const Tables &tables, const KeyDigest &digest);
 
