Keep the outcome of an ended occurrence whose runs a new owner adopts

A claim that was fenced was repeated every 10 ms until the newer one was read; it waits now. Begun occurrences are opened whatever the clock says.

--- a/src/dispatch/systems/write_journal.cpp
+++ b/src/dispatch/systems/write_journal.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t recordsPerBatch = 500;
 constexpr Milliseconds refusedPause{120};
+constexpr Milliseconds claimBackoff{400}; ///< For the newer claim to be read.
 constexpr Milliseconds shortestTimeout{450};
 constexpr Milliseconds longestTimeout{3'000};
 constexpr std::int64_t timeoutFactor = 5; ///< Of the smoothed latency.
@@ -96,6 +97,7 @@
     case JournalOutcome::Fenced:
         if (answer.writer == JournalWriter::Owner) {
             resign(entry, "the journal has a newer owner");
+            entry.ownership.backoffUntil = time.now + claimBackoff;
         } else {
             beginEpoch(writer, time);
         }
--- a/src/dispatch/work.cpp
+++ b/src/dispatch/work.cpp
@@ -151,6 +151,7 @@
     state.dueAt = dueAt;
     const auto &known = entry.jobs.table.get<JobState>(job).occurrences[number];
     state.begun = known.begun;
+    state.outcome = known.outcome;
     const auto occurrence = work.occurrences.insert({job, number}, std::move(state));
     work.byJob[job].push_back(occurrence);
     for (std::uint32_t n = 0; n < spec.steps.size(); ++n) {
@@ -321,6 +322,7 @@
     entry.work = {};
     entry.workers = {};
     entry.jobs.table.forEach([&](JobRef job) { openJob(entry, job, time); });
+    openDueOccurrences(entry, time);
 }
 
 void openJob(Entry &entry, JobRef job, const TickTime &time)
@@ -350,9 +352,9 @@
         const auto &repetition = entry.jobs.table.get<JobPlan>(job).spec.repetition;
         const auto &state = entry.jobs.table.get<JobState>(job);
         while (isLive && number < state.occurrences.size()) {
-            const auto due = repetition.times == 0
-                ? time.now
-                : monotonicAt(entry, repetition.firstAt + repetition.interval * number);
+            const bool isDue = repetition.times == 0 || state.occurrences[number].begun;
+            const auto due =
+                isDue ? time.now : monotonicAt(entry, repetition.firstAt + repetition.interval * number);
             if (due > time.now) {
                 entry.wakeBy(due);
                 break;
