--- a/src/dispatch/work.cpp
+++ b/src/dispatch/work.cpp
@@ -353,8 +353,7 @@
         const auto &state = entry.jobs.table.get<JobState>(job);
         while (isLive && number < state.occurrences.size()) {
             const bool isDue = repetition.times == 0 || state.occurrences[number].begun;
-            const auto due =
-                isDue ? time.now : monotonicAt(entry, repetition.firstAt + repetition.interval * number);
+            const auto due = isDue ? time.now : monotonicAt(entry, repetition.firstAt + repetition.interval * number);
             if (due > time.now) {
                 entry.wakeBy(due);
                 break;
--- /dev/null
+++ b/standin/worker_model.cpp
@@ -0,0 +1,135 @@
+#include "worker_model.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingotally::standin
+{
+
+using namespace dispatch;
+
+WorkerModel::WorkerModel(std::string id, Resources capacity, WorkerHooks hooks, Milliseconds bornAt)
+    : m_id(std::move(id)), m_capacity(capacity), m_hooks(std::move(hooks)), m_bornAt(bornAt)
+{
+}
+
+WorkerTime WorkerModel::clock(Milliseconds now) const
+{
+    return WorkerTime{now - m_bornAt};
+}
+
+bool WorkerModel::takeToken(Token token)
+{
+    if (token < m_token) {
+        return false;
+    }
+    m_token = token;
+    return true;
+}
+
+void WorkerModel::end(std::map<TaskName, Running>::iterator it, RunEnd how)
+{
+    auto &highest = m_highest[it->first];
+    highest = std::max(highest, it->second.run);
+    m_ended.push_back({m_nextEnd++, it->first, it->second.run, how, {}});
+    m_hooks.ended({it->first, it->second.run, m_id, it->second.begunAt}, how);
+    m_running.erase(it);
+}
+
+void WorkerModel::advance(Milliseconds now)
+{
+    for (auto it = m_running.begin(); it != m_running.end();) {
+        const auto current = it++;
+        const auto lapsesAt = m_leaseUntil.time_since_epoch() + m_bornAt;
+        if (current->second.endsAt <= std::min(now, lapsesAt)) {
+            end(current, current->second.end);
+        } else if (lapsesAt <= now) {
+            end(current, RunEnd::Lapsed);
+        }
+    }
+}
+
+std::optional<Milliseconds> WorkerModel::nextEnd() const
+{
+    std::optional<Milliseconds> next;
+    for (const auto &[task, run] : m_running) {
+        const auto at = std::min(run.endsAt, m_leaseUntil.time_since_epoch() + m_bornAt);
+        next = next ? std::min(*next, at) : at;
+    }
+    return next;
+}
+
+HoldAnswer WorkerModel::hold(const HoldOrder &order, Milliseconds now)
+{
+    advance(now);
+    HoldAnswer answer;
+    answer.worker = order.worker;
+    answer.token = order.token;
+    answer.clock = clock(now);
+    answer.life = static_cast<std::uint64_t>(m_bornAt.count()) + 1;
+    if (!takeToken(order.token)) {
+        answer.result = OrderResult::Fenced;
+        return answer;
+    }
+    m_leaseUntil = std::max(m_leaseUntil, order.leaseUntil);
+    std::erase_if(m_ended, [&](const EndRow &it) { return it.number <= order.acknowledged; });
+    answer.result = OrderResult::Accepted;
+    for (const auto &[task, run] : m_running) {
+        answer.running.push_back({task, run.run, {}, 0});
+    }
+    answer.ended = m_ended;
+    return answer;
+}
+
+OrderResult WorkerModel::start(const StartOrder &order, Milliseconds now)
+{
+    advance(now);
+    if (!takeToken(order.token)) {
+        return OrderResult::Fenced;
+    }
+    const auto running = m_running.find(order.task);
+    if (running != m_running.end()) {
+        return running->second.run == order.number ? OrderResult::Accepted : OrderResult::Superseded;
+    }
+    const auto highest = m_highest.find(order.task);
+    if (highest != m_highest.end() && order.number <= highest->second) {
+        return OrderResult::Superseded;
+    }
+    if (order.leaseUntil <= clock(now)) {
+        return OrderResult::Late;
+    }
+    m_leaseUntil = std::max(m_leaseUntil, order.leaseUntil);
+    const auto script = m_hooks.script(order.task, order.number);
+    m_running[order.task] = {order.number, now + script.work, now, script.end};
+    m_hooks.begun({order.task, order.number, m_id, now});
+    return OrderResult::Accepted;
+}
+
+OrderResult WorkerModel::stop(const StopOrder &order, Milliseconds now)
+{
+    advance(now);
+    if (!takeToken(order.token)) {
+        return OrderResult::Fenced;
+    }
+    auto &highest = m_highest[order.task];
+    highest = std::max(highest, order.number);
+    if (const auto it = m_running.find(order.task); it != m_running.end() && it->second.run <= order.number) {
+        end(it, RunEnd::Stopped);
+    }
+    return OrderResult::Accepted;
+}
+
+void WorkerModel::restart(Milliseconds now)
+{
+    for (const auto &[task, run] : std::exchange(m_running, {})) {
+        m_hooks.ended({task, run.run, m_id, run.begunAt}, RunEnd::Lapsed);
+    }
+    m_bornAt = now;
+    m_token = 0;
+    m_leaseUntil = {};
+    m_nextEnd = 1;
+    m_ended.clear();
+    m_highest.clear();
+}
+
+} // namespace flamingotally::standin
--- /dev/null
+++ b/tests/dispatch_test.cpp
@@ -0,0 +1,459 @@
+/** @file dispatch_test.cpp Entry daemons that dispatch through the store, from what callers and workers see. */
+#include "fakes/dispatch_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace flamingotally;
+using namespace flamingotally::dispatch;
+using namespace flamingotally::fakes;
+
+namespace
+{
+
+constexpr Milliseconds settling{2'000}; ///< For the first owner and the first looks at workers.
+
+JobSpec jobOf(std::vector<StepSpec> steps)
+{
+    JobSpec spec;
+    spec.payload = "payload";
+    spec.steps = std::move(steps);
+    return spec;
+}
+
+/** A world that keeps its promises. */
+void assertKept(const DispatchWorld &world)
+{
+    for (const auto &it : world.breaches) {
+        CPPUNIT_FAIL(it);
+    }
+}
+
+} // namespace
+
+class DispatchTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DispatchTest);
+    CPPUNIT_TEST(runsStepsInOrder);
+    CPPUNIT_TEST(runsOnceWhenHandedInTwice);
+    CPPUNIT_TEST(adoptsWhatAKilledOwnerPlaced);
+    CPPUNIT_TEST(keepsTheEndOfAJobWhoseRunsAreAdopted);
+    CPPUNIT_TEST(resendsWhatWasNotAnswered);
+    CPPUNIT_TEST(tellsTheTruthWhenTheStoreIsDown);
+    CPPUNIT_TEST(movesOwnershipAwayFromADaemonThatTheStoreRefuses);
+    CPPUNIT_TEST(waitsForTheLeaseOfASilentWorker);
+    CPPUNIT_TEST(survivesStartsThatAreCarriedOutLate);
+    CPPUNIT_TEST(failsAJobAfterItsLastAttempt);
+    CPPUNIT_TEST(stopsACancelledJob);
+    CPPUNIT_TEST(startsEndlessTasksAgain);
+    CPPUNIT_TEST(keepsATeamWithinItsLimit);
+    CPPUNIT_TEST(startsAGangAtOnceOrNotAtAll);
+    CPPUNIT_TEST(runsOccurrencesWhenTheyAreDue);
+    CPPUNIT_TEST(ignoresShortStepsOfTheWallClock);
+    CPPUNIT_TEST(judgesNothingByAnOldConfiguration);
+    CPPUNIT_TEST(startsNothingOnDrainingWorkersOrInDomainsThatAreOut);
+    CPPUNIT_TEST(startsOnlyWhereThePolicyServiceAllows);
+    CPPUNIT_TEST(knowsAllAfterEverythingWasRestartedAndTheHistoryIsGone);
+    CPPUNIT_TEST(endsRunsOfAWorkerThatWasBornAgain);
+    CPPUNIT_TEST(aFrozenOwnerDoesNoHarm);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void runsStepsInOrder()
+    {
+        DispatchWorld world(3, 2);
+        world.run(settling);
+        const auto handle = world.submit(1, 1, jobOf({plainStep(3), plainStep(2, {0})}));
+        world.run(Milliseconds{1'500});
+        CPPUNIT_ASSERT(world.answerOf(handle)->result == CallResult::Done);
+        for (std::size_t n = 0; n < 3; ++n) {
+            CPPUNIT_ASSERT(world.phaseAt(n, 1) == JobPhase::Completed);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 1, 1}));
+        assertKept(world);
+    }
+
+    void runsOnceWhenHandedInTwice()
+    {
+        DispatchWorld world(3, 2);
+        world.run(settling);
+        const auto spec = jobOf({plainStep(1)});
+        const auto first = world.submit(0, 1, spec);
+        const auto second = world.submit(2, 1, spec);
+        world.run(Milliseconds{1'000});
+        const auto late = world.submit(1, 1, spec);
+        world.run(Milliseconds{1'000});
+        for (const auto handle : {first, second, late}) {
+            CPPUNIT_ASSERT(world.answerOf(handle)->result == CallResult::Done);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
+        assertKept(world);
+    }
+
+    void adoptsWhatAKilledOwnerPlaced()
+    {
+        DispatchWorld world(3, 2);
+        world.run(settling);
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{4'000}, RunEnd::Done}};
+        world.submit(0, 1, jobOf({plainStep(1), plainStep(1, {0})}));
+        world.run(Milliseconds{500});
+        const auto former = world.owner().value();
+        world.kill(former);
+        world.run(Milliseconds{6'000});
+        CPPUNIT_ASSERT(world.owner().has_value());
+        CPPUNIT_ASSERT(world.phaseAt((former + 1) % 3, 1) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
+        assertKept(world);
+    }
+
+    /** A new owner wrote "not ended" over a failed job whose other runs were still being stopped. */
+    void keepsTheEndOfAJobWhoseRunsAreAdopted()
+    {
+        DispatchWorld world(2, 2);
+        world.run(settling);
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{50}, RunEnd::Failed}, {Milliseconds{1'500}, RunEnd::Failed}};
+        world.scripts[{1, 0, 1, 0}] = {{Milliseconds{60'000}, RunEnd::Done}};
+        world.submit(0, 1, jobOf({plainStep(1), plainStep(1)}));
+        world.run(Milliseconds{500});
+        world.linkModes[world.whereIs({1, 0, 1, 0}).value()] = LinkMode::Cut;
+        world.run(Milliseconds{1'700});
+        const auto former = world.owner().value();
+        world.kill(former);
+        world.run(Milliseconds{3'000});
+        world.kill(1 - former);
+        world.startAgain(former);
+        world.run(Milliseconds{3'000});
+        CPPUNIT_ASSERT_EQUAL(5, static_cast<int>(world.phaseAt(former, 1)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.startsOf({1, 0, 0, 0}));
+        assertKept(world);
+    }
+
+    void resendsWhatWasNotAnswered()
+    {
+        DispatchWorld world(2, 2);
+        world.run(settling);
+        for (std::size_t n = 0; n < 2; ++n) {
+            world.storeModes[n] = StoreMode::LosesAnswers;
+        }
+        const auto handle = world.submit(0, 1, jobOf({plainStep(2)}));
+        world.run(Milliseconds{300});
+        for (std::size_t n = 0; n < 2; ++n) {
+            world.storeModes[n] = StoreMode::Up;
+        }
+        world.run(Milliseconds{3'000});
+        CPPUNIT_ASSERT(world.answerOf(handle)->result == CallResult::Done);
+        CPPUNIT_ASSERT(world.phaseAt(1, 1) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
+        assertKept(world);
+    }
+
+    void tellsTheTruthWhenTheStoreIsDown()
+    {
+        DispatchWorld world(2, 2);
+        world.run(settling);
+        for (std::size_t n = 0; n < 2; ++n) {
+            world.storeModes[n] = StoreMode::Down;
+        }
+        const auto refused = world.submit(0, 1, jobOf({plainStep(1)}));
+        world.storeModes[1] = StoreMode::Silent;
+        const auto undecided = world.submit(1, 2, jobOf({plainStep(1)}));
+        world.run(Milliseconds{4'000});
+        CPPUNIT_ASSERT(world.answerOf(refused)->result == CallResult::NotRun);
+        CPPUNIT_ASSERT(world.answerOf(refused)->retryAfter > Milliseconds{0});
+        CPPUNIT_ASSERT(world.answerOf(undecided)->result == CallResult::Undecided);
+        for (std::size_t n = 0; n < 2; ++n) {
+            world.storeModes[n] = StoreMode::Up;
+        }
+        world.run(Milliseconds{5'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.startsOf({1, 0, 0, 0}));
+        assertKept(world);
+    }
+
+    void movesOwnershipAwayFromADaemonThatTheStoreRefuses()
+    {
+        DispatchWorld world(3, 2);
+        world.run(settling);
+        const auto former = world.owner().value();
+        world.storeModes[former] = StoreMode::Down;
+        world.run(Milliseconds{3'500});
+        const auto handle = world.submit((former + 1) % 3, 1, jobOf({plainStep(1)}));
+        world.run(Milliseconds{1'500});
+        CPPUNIT_ASSERT(world.answerOf(handle)->result == CallResult::Done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
+        CPPUNIT_ASSERT(!world.entry(former).isOwner());
+        assertKept(world);
+    }
+
+    void waitsForTheLeaseOfASilentWorker()
+    {
+        DispatchWorld world(2, 2);
+        world.run(settling);
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{60'000}, RunEnd::Done}, {Milliseconds{100}, RunEnd::Done}};
+        world.submit(0, 1, jobOf({plainStep(1)}));
+        world.run(Milliseconds{500});
+        const std::size_t where = world.worker(0).runningCount() > 0 ? 0 : 1;
+        world.linkModes[where] = LinkMode::Cut;
+        world.run(Milliseconds{4'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
+        world.run(Milliseconds{5'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.startsOf({1, 0, 0, 0}));
+        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Completed);
+        assertKept(world);
+    }
+
+    void survivesStartsThatAreCarriedOutLate()
+    {
+        DispatchWorld world(2, 2);
+        world.run(settling);
+        world.linkModes[0] = LinkMode::Late;
+        world.linkModes[1] = LinkMode::Late;
+        world.submit(0, 1, jobOf({plainStep(4)}));
+        world.run(Milliseconds{1'500});
+        world.linkModes[0] = LinkMode::Up;
+        world.linkModes[1] = LinkMode::Up;
+        world.run(Milliseconds{8'000});
+        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Completed);
+        assertKept(world);
+    }
+
+    void failsAJobAfterItsLastAttempt()
+    {
+        DispatchWorld world(2, 2);
+        world.run(settling);
+        world.scripts[{1, 0, 0, 1}] = {{Milliseconds{50}, RunEnd::Failed}};
+        world.submit(0, 1, jobOf({plainStep(2), plainStep(1, {0})}));
+        world.run(Milliseconds{3'000});
+        CPPUNIT_ASSERT(world.phaseAt(1, 1) == JobPhase::Failed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.startsOf({1, 0, 0, 1}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.startsOf({1, 0, 1, 0}));
+        assertKept(world);
+    }
+
+    void stopsACancelledJob()
+    {
+        DispatchWorld world(2, 2);
+        world.run(settling);
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{60'000}, RunEnd::Done}};
+        world.submit(0, 1, jobOf({plainStep(1), plainStep(1, {0})}));
+        world.run(Milliseconds{500});
+        const auto handle = world.call(1, CallVerb::Cancel, 1);
+        world.run(Milliseconds{1'000});
+        CPPUNIT_ASSERT(world.answerOf(handle)->result == CallResult::Done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.worker(0).runningCount() + world.worker(1).runningCount());
+        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Cancelled);
+        assertKept(world);
+    }
+
+    void startsEndlessTasksAgain()
+    {
+        DispatchWorld world(2, 2);
+        world.run(settling);
+        auto step = plainStep(1);
+        step.endless = true;
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{200}, RunEnd::Failed}, {Milliseconds{200}, RunEnd::Done}};
+        world.submit(0, 1, jobOf({step}));
+        world.run(Milliseconds{3'000});
+        CPPUNIT_ASSERT(world.startsOf({1, 0, 0, 0}) > 5);
+        CPPUNIT_ASSERT(world.phaseAt(1, 1) == JobPhase::Running);
+        assertKept(world);
+    }
+
+    void keepsATeamWithinItsLimit()
+    {
+        DispatchWorld world(2, 4);
+        auto configuration = plainConfiguration();
+        configuration.teams[0].limit = {2'000, 0, 0};
+        world.publish(configuration);
+        world.run(settling);
+        for (std::uint32_t n = 0; n < 6; ++n) {
+            world.scripts[{1, 0, 0, n}] = {{Milliseconds{1'000}, RunEnd::Done}};
+        }
+        world.submit(0, 1, jobOf({plainStep(6)}));
+        std::size_t most = 0;
+        for (int n = 0; n < 40; ++n) {
+            world.run(Milliseconds{100});
+            std::size_t running = 0;
+            for (std::size_t w = 0; w < 4; ++w) {
+                running += world.worker(w).runningCount();
+            }
+            most = std::max(most, running);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, most);
+        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Completed);
+        assertKept(world);
+    }
+
+    void startsAGangAtOnceOrNotAtAll()
+    {
+        DispatchWorld world(2, 2);
+        world.run(settling);
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{1'000}, RunEnd::Done}};
+        world.submit(0, 1, jobOf({plainStep(1)}));
+        world.run(Milliseconds{300});
+        auto gang = plainStep(8);
+        gang.gang = true;
+        for (std::uint32_t n = 0; n < 8; ++n) {
+            world.scripts[{2, 0, 0, n}] = {{Milliseconds{300}, RunEnd::Done}};
+        }
+        world.submit(1, 2, jobOf({gang}));
+        world.run(Milliseconds{400});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.startsOf({2, 0, 0, 0}));
+        world.run(Milliseconds{3'000});
+        CPPUNIT_ASSERT(world.phaseAt(0, 2) == JobPhase::Completed);
+        for (std::uint32_t n = 0; n < 8; ++n) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({2, 0, 0, n}));
+        }
+        assertKept(world);
+    }
+
+    void runsOccurrencesWhenTheyAreDue()
+    {
+        DispatchWorld world(2, 2);
+        world.run(settling);
+        auto spec = jobOf({plainStep(1)});
+        const auto wall = wallAt(world);
+        spec.repetition = {3, wall + Milliseconds{1'000}, Milliseconds{2'000}};
+        world.submit(0, 1, spec);
+        world.run(Milliseconds{900});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.startsOf({1, 0, 0, 0}));
+        world.run(Milliseconds{600});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.startsOf({1, 1, 0, 0}));
+        world.run(Milliseconds{5'000});
+        CPPUNIT_ASSERT(world.phaseAt(1, 1) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 2, 0, 0}));
+        assertKept(world);
+    }
+
+    void ignoresShortStepsOfTheWallClock()
+    {
+        DispatchWorld world(1, 1);
+        world.run(settling);
+        auto spec = jobOf({plainStep(1)});
+        spec.repetition = {1, wallAt(world) + Milliseconds{3'000}, Milliseconds{1'000}};
+        world.submit(0, 1, spec);
+        world.run(Milliseconds{500});
+        world.wallStep = Milliseconds{60'000};
+        world.run(Milliseconds{1'500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.startsOf({1, 0, 0, 0}));
+        world.wallStep = Milliseconds{0};
+        world.run(Milliseconds{2'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
+        assertKept(world);
+    }
+
+    void judgesNothingByAnOldConfiguration()
+    {
+        DispatchWorld world(2, 1);
+        world.run(settling);
+        world.readsNoConfig.insert(1);
+        world.run(Milliseconds{2'000});
+        auto configuration = plainConfiguration();
+        configuration.queues.clear();
+        world.publish(configuration);
+        const auto handle = world.submit(1, 1, jobOf({plainStep(1)}));
+        world.run(Milliseconds{1'000});
+        CPPUNIT_ASSERT(!world.answerOf(handle).has_value());
+        world.readsNoConfig.clear();
+        world.run(Milliseconds{1'000});
+        CPPUNIT_ASSERT(world.answerOf(handle)->result == CallResult::UnknownQueue);
+        assertKept(world);
+    }
+
+    void startsNothingOnDrainingWorkersOrInDomainsThatAreOut()
+    {
+        DispatchWorld world(2, 3);
+        world.run(settling);
+        world.listWorker(0, true);
+        world.domainsOut = {"z1"};
+        world.run(Milliseconds{1'000});
+        world.submit(0, 1, jobOf({plainStep(6)}));
+        world.run(Milliseconds{200});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.worker(0).runningCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.worker(1).runningCount());
+        world.run(Milliseconds{2'000});
+        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Completed);
+        assertKept(world);
+    }
+
+    void startsOnlyWhereThePolicyServiceAllows()
+    {
+        DispatchWorld world(2, 3);
+        auto configuration = plainConfiguration();
+        configuration.queues[0].treatment.advice = {true, 10, 1, Milliseconds{1'000}};
+        world.publish(configuration);
+        world.notAdvised = {"w0", "w2"};
+        world.run(settling);
+        for (std::uint32_t n = 0; n < 6; ++n) {
+            world.scripts[{1, 0, 0, n}] = {{Milliseconds{1'500}, RunEnd::Done}};
+        }
+        world.submit(0, 1, jobOf({plainStep(6)}));
+        world.run(Milliseconds{500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, world.worker(1).runningCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.worker(0).runningCount() + world.worker(2).runningCount());
+        world.run(Milliseconds{4'000});
+        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Completed);
+        assertKept(world);
+    }
+
+    void knowsAllAfterEverythingWasRestartedAndTheHistoryIsGone()
+    {
+        DispatchWorld world(3, 2);
+        world.run(settling);
+        world.scripts[{2, 0, 0, 0}] = {{Milliseconds{3'000}, RunEnd::Done}};
+        world.submit(0, 1, jobOf({plainStep(1)}));
+        world.submit(1, 2, jobOf({plainStep(1)}));
+        world.run(Milliseconds{800});
+        for (std::size_t n = 0; n < 3; ++n) {
+            world.kill(n);
+        }
+        world.topic.compact();
+        world.run(Milliseconds{1'000});
+        for (std::size_t n = 0; n < 3; ++n) {
+            world.startAgain(n);
+        }
+        world.run(Milliseconds{4'000});
+        CPPUNIT_ASSERT(world.phaseAt(1, 1) == JobPhase::Completed);
+        CPPUNIT_ASSERT(world.phaseAt(2, 2) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({2, 0, 0, 0}));
+        assertKept(world);
+    }
+
+    void endsRunsOfAWorkerThatWasBornAgain()
+    {
+        DispatchWorld world(2, 1);
+        world.run(settling);
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{60'000}, RunEnd::Done}, {Milliseconds{100}, RunEnd::Done}};
+        world.submit(0, 1, jobOf({plainStep(1)}));
+        world.run(Milliseconds{500});
+        world.worker(0).restart(world.now());
+        world.run(Milliseconds{2'500});
+        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.startsOf({1, 0, 0, 0}));
+        assertKept(world);
+    }
+
+    void aFrozenOwnerDoesNoHarm()
+    {
+        DispatchWorld world(3, 2);
+        world.run(settling);
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{1'000}, RunEnd::Done}};
+        world.submit(0, 1, jobOf({plainStep(1), plainStep(4, {0})}));
+        world.run(Milliseconds{300});
+        const auto former = world.owner().value();
+        world.freeze(former, Milliseconds{4'000});
+        world.run(Milliseconds{8'000});
+        CPPUNIT_ASSERT(!world.entry(former).isOwner());
+        CPPUNIT_ASSERT(world.phaseAt(former, 1) == JobPhase::Completed);
+        assertKept(world);
+    }
+
+private:
+    /** Wall time of the world's daemons. */
+    static Milliseconds wallAt(DispatchWorld &world)
+    {
+        constexpr Milliseconds wallStart{1'700'000'000'000};
+        return wallStart + world.now();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatchTest);
--- /dev/null
+++ b/tests/fakes/dispatch_world.cpp
@@ -0,0 +1,579 @@
+#include "fakes/dispatch_world.h"
+
+#include "dispatch/codec/journal_codec.h"
+#include "key_digest.h"
+
+#include <cppunit/TestAssert.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace flamingotally::fakes
+{
+
+using namespace dispatch;
+using standin::BegunRun;
+using standin::ModelRecord;
+using standin::WorkerModel;
+
+namespace
+{
+
+constexpr Milliseconds oneWay{2};
+constexpr Milliseconds lateBy{3'000};
+constexpr Milliseconds answerTimeout{3'000};
+constexpr Milliseconds wallStart{1'700'000'000'000};
+constexpr Milliseconds configInterval{300};
+constexpr Milliseconds restartIncarnation{1};
+constexpr const char *redKey = "red key";
+
+} // namespace
+
+/** The ports of one daemon. */
+class WorldPorts
+{
+public:
+    WorldPorts(DispatchWorld &world, std::size_t daemon)
+        : m_world(world), m_daemon(daemon), m_life(world.m_daemons[daemon]->life)
+    {
+    }
+
+    MonotonicTime now() const
+    {
+        return MonotonicTime{m_world.m_queue.now()};
+    }
+
+    WallTime wallNow() const
+    {
+        return WallTime{wallStart + m_world.m_queue.now() + m_world.wallStep};
+    }
+
+    void read(const JournalReadOrder &order)
+    {
+        const auto askedAt = now();
+        if (mode() == StoreMode::Silent) {
+            put(Milliseconds{700},
+                [askedAt](Inbox &inbox) { inbox.journalReads.push_back(failedRead(askedAt, false)); });
+            return;
+        }
+        if (mode() == StoreMode::Down) {
+            put(2 * oneWay, [askedAt](Inbox &inbox) { inbox.journalReads.push_back(failedRead(askedAt, false)); });
+            return;
+        }
+        const bool hasNews = order.whole || m_world.topic.end() > order.from;
+        m_world.m_queue.after(
+            hasNews ? oneWay : Milliseconds{20}, [world = &m_world, daemon = m_daemon, life = m_life, order, askedAt] {
+                const auto records = order.whole ? std::optional(world->topic.newest()) : world->topic.read(order.from);
+                world->deliver(daemon, life, oneWay, [=, end = world->topic.end()](Inbox &inbox) {
+                    if (!records) {
+                        inbox.journalReads.push_back(failedRead(askedAt, true));
+                        return;
+                    }
+                    JournalRead read;
+                    read.askedAt = askedAt;
+                    read.whole = order.whole;
+                    read.nextOffset = end;
+                    for (const auto &it : *records) {
+                        auto decoded = decodeJournalRecord(it.key, it.value);
+                        read.entries.push_back(
+                            {it.offset, decoded.ok() ? std::optional(*std::move(decoded)) : std::nullopt});
+                    }
+                    inbox.journalReads.push_back(std::move(read));
+                });
+            });
+    }
+
+    void append(const JournalBatch &batch)
+    {
+        const auto answerWith = [&](JournalOutcome outcome, std::uint64_t offset, Milliseconds delay) {
+            put(delay, [which = batch.writer, sequence = batch.sequence, outcome, offset](Inbox &inbox) {
+                inbox.journalAnswers.push_back({which, sequence, outcome, offset});
+            });
+        };
+        if (mode() == StoreMode::Down) {
+            answerWith(JournalOutcome::Refused, 0, 2 * oneWay);
+            return;
+        }
+        if (mode() == StoreMode::Silent) {
+            answerWith(JournalOutcome::Unknown, 0, batch.timeout);
+            return;
+        }
+        std::vector<ModelRecord> records;
+        for (const auto &it : batch.records) {
+            for (auto &row : encodeJournalRecord(it)) {
+                records.push_back({0, std::move(row.key), std::move(row.value)});
+            }
+        }
+        const auto producer = batch.writer == JournalWriter::Owner
+            ? std::string("owner")
+            : fmt::format("{}.{}", m_world.entry(m_daemon).settings.name, m_world.entry(m_daemon).incarnation);
+        const auto stored = m_world.topic.append({producer, batch.token, batch.sequence}, records);
+        if (mode() == StoreMode::LosesAnswers) {
+            answerWith(JournalOutcome::Unknown, 0, batch.timeout);
+            return;
+        }
+        answerWith(stored.stored ? JournalOutcome::Stored : JournalOutcome::Fenced, stored.offset, 2 * oneWay);
+    }
+
+    void watch(bool on)
+    {
+        auto &daemon = *m_world.m_daemons[m_daemon];
+        if (std::exchange(daemon.watches, on) || !on) {
+            return;
+        }
+        WorkerListRead read;
+        read.whole = true;
+        for (const auto &it : m_world.m_workers) {
+            read.changes.push_back(it.listing);
+        }
+        put(2 * oneWay, [read](Inbox &inbox) { inbox.workerLists.push_back(read); });
+    }
+
+    void hold(const HoldOrder &order)
+    {
+        const auto n = m_world.indexOf(order.id);
+        const auto sentAt = now();
+        if (m_world.linkModes[n] == LinkMode::Cut) {
+            put(order.wait + Milliseconds{800}, [order, sentAt](Inbox &inbox) {
+                HoldAnswer lost;
+                lost.worker = order.worker;
+                lost.token = order.token;
+                lost.sentAt = sentAt;
+                inbox.holdAnswers.push_back(lost);
+            });
+            return;
+        }
+        auto &model = m_world.worker(n);
+        model.advance(m_world.m_queue.now());
+        const auto next = model.nextEnd();
+        const bool answersAtOnce = model.hasUnacknowledged() || order.wait == Milliseconds{0};
+        const auto until = m_world.m_queue.now() + order.wait;
+        const auto at = answersAtOnce ? m_world.m_queue.now() : std::min(until, next.value_or(until));
+        answerHold(order, sentAt, std::max(at - m_world.m_queue.now(), oneWay));
+    }
+
+    void start(const StartOrder &order)
+    {
+        const auto n = m_world.indexOf(order.id);
+        const auto linkMode = m_world.linkModes[n];
+        const auto carryOut = [world = &m_world, order, n] {
+            world->advanceWorkers();
+            return world->worker(n).start(order, world->m_queue.now());
+        };
+        if (linkMode != LinkMode::Up) {
+            if (linkMode == LinkMode::Late) {
+                m_world.m_queue.after(lateBy, [carryOut] { carryOut(); });
+            }
+            answerOrder(OrderKind::Start, order.run, order.token, OrderResult::NoAnswer, Milliseconds{700});
+            return;
+        }
+        answerOrder(OrderKind::Start, order.run, order.token, carryOut(), 2 * oneWay);
+    }
+
+    void stop(const StopOrder &order)
+    {
+        const auto n = m_world.indexOf(order.id);
+        if (m_world.linkModes[n] == LinkMode::Cut) {
+            answerOrder(OrderKind::Stop, order.run, order.token, OrderResult::NoAnswer, Milliseconds{700});
+            return;
+        }
+        const auto result = m_world.worker(n).stop(order, m_world.m_queue.now());
+        answerOrder(OrderKind::Stop, order.run, order.token, result, 2 * oneWay);
+    }
+
+    void ask(const AdviceQuestion &question)
+    {
+        AdviceAnswer answer;
+        answer.number = question.number;
+        answer.failed = false;
+        answer.askedAt = now();
+        for (const auto &it : question.workers) {
+            if (!m_world.notAdvised.contains(it)) {
+                answer.good.push_back({it, "ticket of " + it});
+            }
+        }
+        put(Milliseconds{20}, [answer](Inbox &inbox) { inbox.adviceAnswers.push_back(answer); });
+    }
+
+    void answer(const CallerAnswer &answer)
+    {
+        m_world.m_answers[answer.handle] = answer;
+    }
+
+    void write(const Event & /*event*/, std::uint64_t & /*dropped*/)
+    {
+    }
+
+private:
+    static JournalRead failedRead(MonotonicTime askedAt, bool expired)
+    {
+        JournalRead read;
+        read.askedAt = askedAt;
+        read.failed = true;
+        read.expired = expired;
+        return read;
+    }
+
+    StoreMode mode() const
+    {
+        return m_world.storeModes[m_daemon];
+    }
+
+    void put(Milliseconds delay, std::function<void(Inbox &)> function)
+    {
+        m_world.deliver(m_daemon, m_life, delay, std::move(function));
+    }
+
+    void answerHold(const HoldOrder &order, MonotonicTime sentAt, Milliseconds delay)
+    {
+        m_world.m_queue.after(delay, [world = &m_world, daemon = m_daemon, life = m_life, order, sentAt] {
+            const auto n = world->indexOf(order.id);
+            if (world->linkModes[n] == LinkMode::Cut) {
+                world->deliver(daemon, life, Milliseconds{1'000}, [order, sentAt](Inbox &inbox) {
+                    HoldAnswer lost;
+                    lost.worker = order.worker;
+                    lost.token = order.token;
+                    lost.sentAt = sentAt;
+                    inbox.holdAnswers.push_back(lost);
+                });
+                return;
+            }
+            auto answer = world->worker(n).hold(order, world->m_queue.now());
+            answer.sentAt = sentAt;
+            answer.receivedAt = MonotonicTime{world->m_queue.now() + oneWay};
+            world->deliver(daemon, life, oneWay, [answer](Inbox &inbox) { inbox.holdAnswers.push_back(answer); });
+        });
+    }
+
+    void answerOrder(OrderKind kind, RunRef run, Token token, OrderResult result, Milliseconds delay)
+    {
+        const OrderAnswer answer{kind, run, token, result, now(), now() + delay};
+        put(delay, [answer](Inbox &inbox) { inbox.orderAnswers.push_back(answer); });
+    }
+
+    DispatchWorld &m_world;
+    std::size_t m_daemon;
+    std::uint64_t m_life;
+};
+
+Configuration plainConfiguration()
+{
+    Configuration configuration;
+    configuration.version = 1;
+    QueueSpec queue;
+    queue.name = "q";
+    queue.host = "host";
+    queue.pathPrefix = "/q/";
+    queue.treatment.pool = "p";
+    queue.treatment.maxAttempts = 2;
+    configuration.queues.push_back(queue);
+    configuration.teams.push_back({"red", {digestOfKey(redKey)}, 1, {}});
+    configuration.teams.push_back({"blue", {digestOfKey("blue key")}, 1, {}});
+    configuration.pools.push_back({"p", false});
+    return configuration;
+}
+
+StepSpec plainStep(std::uint32_t count, std::vector<std::uint32_t> after)
+{
+    StepSpec step;
+    step.count = count;
+    step.perTask = {1'000, 1'024, 0};
+    step.runEstimate = Milliseconds{100};
+    step.after = std::move(after);
+    return step;
+}
+
+DispatchWorld::DispatchWorld(std::size_t daemons, std::size_t workers) : configuration(plainConfiguration())
+{
+    for (std::size_t n = 0; n < workers; ++n) {
+        const auto id = fmt::format("w{}", n);
+        const standin::WorkerHooks hooks{[this](const TaskName &task, RunNumber run) -> standin::RunScript {
+                                             const auto it = scripts.find(task);
+                                             if (it == scripts.end() || it->second.empty()) {
+                                                 return {};
+                                             }
+                                             return it->second[std::min<std::size_t>(run, it->second.size()) - 1];
+                                         },
+                                         [this](const BegunRun &run) { noteBegun(run); },
+                                         [this](const BegunRun &run, RunEnd how) {
+                                             noteEnded(run, how);
+                                         }};
+        constexpr Resources capacity{4'000, 16'384, 0};
+        Worker worker;
+        worker.model = std::make_unique<WorkerModel>(id, capacity, hooks, Milliseconds{0});
+        worker.listing.id = id;
+        worker.listing.address = id;
+        worker.listing.pool = "p";
+        worker.listing.domain = fmt::format("z{}", n);
+        worker.listing.capacity = capacity;
+        m_workers.push_back(std::move(worker));
+    }
+    for (std::size_t n = 0; n < daemons; ++n) {
+        m_daemons.push_back(std::make_unique<Daemon>());
+        begin(n);
+    }
+}
+
+void DispatchWorld::begin(std::size_t daemon)
+{
+    auto &it = *m_daemons[daemon];
+    it.entry = Entry{};
+    it.entry.settings.name = fmt::format("d{}", daemon);
+    it.entry.incarnation = static_cast<std::uint64_t>((m_queue.now() + restartIncarnation).count());
+    it.alive = true;
+    it.watches = false;
+    readConfig(daemon, it.life);
+    wake(daemon);
+}
+
+void DispatchWorld::kill(std::size_t daemon)
+{
+    m_daemons[daemon]->alive = false;
+    ++m_daemons[daemon]->life;
+}
+
+void DispatchWorld::startAgain(std::size_t daemon)
+{
+    ++m_daemons[daemon]->life;
+    begin(daemon);
+}
+
+void DispatchWorld::freeze(std::size_t daemon, Milliseconds time)
+{
+    m_daemons[daemon]->frozenUntil = m_queue.now() + time;
+}
+
+void DispatchWorld::readConfig(std::size_t daemon, std::uint64_t life)
+{
+    auto &it = *m_daemons[daemon];
+    if (!it.alive || it.life != life) {
+        return;
+    }
+    ConfigRead read;
+    read.askedAt = MonotonicTime{m_queue.now()};
+    read.failed = readsNoConfig.contains(daemon);
+    read.configuration = configuration;
+    read.domainsOut = DomainsOut{domainsOut};
+    deliver(daemon, life, 2 * oneWay, [read](Inbox &inbox) { inbox.configReads.push_back(read); });
+    m_queue.after(configInterval, [this, daemon, life] { readConfig(daemon, life); });
+}
+
+void DispatchWorld::deliver(std::size_t daemon,
+                            std::uint64_t life,
+                            Milliseconds delay,
+                            std::function<void(Inbox &)> put)
+{
+    const auto at = std::max(m_queue.now() + delay, m_daemons[daemon]->frozenUntil);
+    m_queue.at(at, [this, daemon, life, put] {
+        auto &it = *m_daemons[daemon];
+        if (it.alive && it.life == life) {
+            put(it.entry.inbox);
+            wake(daemon);
+        }
+    });
+}
+
+void DispatchWorld::wake(std::size_t daemon)
+{
+    auto &it = *m_daemons[daemon];
+    it.wakeAt = m_queue.now();
+    m_queue.after(Milliseconds{0}, [this, daemon, life = it.life] {
+        if (m_daemons[daemon]->life == life) {
+            tick(daemon);
+        }
+    });
+}
+
+void DispatchWorld::tick(std::size_t daemon)
+{
+    auto &it = *m_daemons[daemon];
+    if (!it.alive || m_queue.now() < it.wakeAt) {
+        return;
+    }
+    if (m_queue.now() < it.frozenUntil) {
+        m_queue.at(it.frozenUntil, [this, daemon] { tick(daemon); });
+        return;
+    }
+    WorldPorts ports(*this, daemon);
+    runTick(it.entry, ports, ports, ports, ports, ports, ports, ports);
+    const auto next = std::max(it.entry.nextWake.time_since_epoch(), m_queue.now() + Milliseconds{1});
+    it.wakeAt = next;
+    m_queue.at(next, [this, daemon, next, life = it.life] {
+        if (m_daemons[daemon]->life == life && m_daemons[daemon]->wakeAt == next) {
+            tick(daemon);
+        }
+    });
+}
+
+void DispatchWorld::run(Milliseconds time)
+{
+    const auto until = m_queue.now() + time;
+    while (m_queue.runNext(until)) { }
+}
+
+CallHandle DispatchWorld::submit(std::size_t daemon, JobId id, JobSpec spec)
+{
+    m_specs.try_emplace(id, spec);
+    CallerCall call;
+    call.handle = m_nextHandle++;
+    call.verb = CallVerb::Submit;
+    call.host = "host";
+    call.path = fmt::format("/q/{:016x}", id);
+    call.key = digestOfKey(redKey);
+    call.spec = std::move(spec);
+    call.receivedAt = MonotonicTime{m_queue.now()};
+    call.answerBy = call.receivedAt + answerTimeout;
+    deliver(daemon, m_daemons[daemon]->life, Milliseconds{0}, [call](Inbox &inbox) { inbox.calls.push_back(call); });
+    return call.handle;
+}
+
+CallHandle DispatchWorld::call(std::size_t daemon, CallVerb verb, JobId id)
+{
+    CallerCall call;
+    call.handle = m_nextHandle++;
+    call.verb = verb;
+    call.host = "host";
+    call.path = verb == CallVerb::Count ? std::string("/q/") : fmt::format("/q/{:016x}", id);
+    call.key = digestOfKey(redKey);
+    call.receivedAt = MonotonicTime{m_queue.now()};
+    call.answerBy = call.receivedAt + answerTimeout;
+    deliver(daemon, m_daemons[daemon]->life, Milliseconds{0}, [call](Inbox &inbox) { inbox.calls.push_back(call); });
+    return call.handle;
+}
+
+std::optional<CallerAnswer> DispatchWorld::answerOf(CallHandle handle) const
+{
+    const auto it = m_answers.find(handle);
+    return it == m_answers.end() ? std::nullopt : std::optional(it->second);
+}
+
+JobPhase DispatchWorld::phaseAt(std::size_t daemon, JobId id)
+{
+    const auto handle = call(daemon, CallVerb::Query, id);
+    run(answerTimeout + Milliseconds{100});
+    const auto answer = answerOf(handle);
+    CPPUNIT_ASSERT(answer.has_value());
+    CPPUNIT_ASSERT(answer->result == CallResult::Done);
+    return answer->phase;
+}
+
+std::optional<std::size_t> DispatchWorld::owner() const
+{
+    std::optional<std::size_t> found;
+    for (std::size_t n = 0; n < m_daemons.size(); ++n) {
+        if (m_daemons[n]->alive && m_daemons[n]->entry.isOwner()) {
+            if (found) {
+                return std::nullopt;
+            }
+            found = n;
+        }
+    }
+    return found;
+}
+
+std::size_t DispatchWorld::startsOf(const TaskName &task) const
+{
+    const auto it = m_starts.find(task);
+    return it == m_starts.end() ? 0 : it->second;
+}
+
+std::optional<std::size_t> DispatchWorld::whereIs(const TaskName &task) const
+{
+    const auto it = m_running.find(task);
+    const bool runs = it != m_running.end() && !it->second.empty();
+    return runs ? std::optional(indexOf(it->second.begin()->first)) : std::nullopt;
+}
+
+std::size_t DispatchWorld::indexOf(const std::string &worker) const
+{
+    for (std::size_t n = 0; n < m_workers.size(); ++n) {
+        if (m_workers[n].model->id() == worker) {
+            return n;
+        }
+    }
+    CPPUNIT_FAIL("no such worker: " + worker);
+    return 0;
+}
+
+const JobSpec *DispatchWorld::specOf(JobId id) const
+{
+    const auto it = m_specs.find(id);
+    return it == m_specs.end() ? nullptr : &it->second;
+}
+
+void DispatchWorld::noteBegun(const BegunRun &run)
+{
+    const auto text = fmt::format("{}.{}.{}.{} run {} on {}",
+                                  run.task.job,
+                                  run.task.occurrence,
+                                  run.task.step,
+                                  run.task.index,
+                                  run.run,
+                                  run.worker);
+    ++m_starts[run.task];
+    ++m_running[run.task][run.worker];
+    if (m_running[run.task].size() > 1) {
+        breaches.push_back("in two places: " + text);
+    }
+    if (m_done.contains(run.task)) {
+        breaches.push_back("after it was done: " + text);
+    }
+    const auto *spec = specOf(run.task.job);
+    if (!spec) {
+        breaches.push_back("never asked for: " + text);
+        return;
+    }
+    for (const auto earlier : spec->steps[run.task.step].after) {
+        for (std::uint32_t n = 0; n < spec->steps[earlier].count; ++n) {
+            if (!m_done.contains({run.task.job, run.task.occurrence, earlier, n})) {
+                breaches.push_back("before an earlier step was done: " + text);
+            }
+        }
+    }
+    const auto &model = *m_workers[indexOf(run.worker)].model;
+    m_mostOnOneWorker = std::max(m_mostOnOneWorker, model.runningCount());
+    const auto need = spec->steps[run.task.step].perTask * static_cast<std::int64_t>(model.runningCount());
+    if (!need.fitsInto(model.capacity())) {
+        breaches.push_back("over the worker's capacity: " + text);
+    }
+}
+
+void DispatchWorld::noteEnded(const BegunRun &run, RunEnd how)
+{
+    auto &places = m_running[run.task];
+    if (--places[run.worker] == 0) {
+        places.erase(run.worker);
+    }
+    const auto *spec = specOf(run.task.job);
+    if (how == RunEnd::Done && spec && !spec->steps[run.task.step].endless) {
+        m_done.insert(run.task);
+    }
+}
+
+void DispatchWorld::listWorker(std::size_t n, bool draining)
+{
+    m_workers[n].listing.draining = draining;
+    for (std::size_t daemon = 0; daemon < m_daemons.size(); ++daemon) {
+        if (m_daemons[daemon]->watches) {
+            WorkerListRead read;
+            read.changes.push_back(m_workers[n].listing);
+            deliver(
+                daemon, m_daemons[daemon]->life, oneWay, [read](Inbox &inbox) { inbox.workerLists.push_back(read); });
+        }
+    }
+}
+
+void DispatchWorld::advanceWorkers()
+{
+    for (auto &it : m_workers) {
+        it.model->advance(m_queue.now());
+    }
+}
+
+void DispatchWorld::publish(Configuration next)
+{
+    next.version = configuration.version + 1;
+    configuration = std::move(next);
+}
+
+} // namespace flamingotally::fakes
