--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -108,21 +108,21 @@
     /** A new owner wrote "not ended" over a failed job whose other runs were still being stopped. */
     void keepsTheEndOfAJobWhoseRunsAreAdopted()
     {
-        DispatchWorld world(2, 2);
+        DispatchWorld world(2, 3);
         world.run(settling);
         world.scripts[{1, 0, 0, 0}] = {{Milliseconds{50}, RunEnd::Failed}, {Milliseconds{1'500}, RunEnd::Failed}};
         world.scripts[{1, 0, 1, 0}] = {{Milliseconds{60'000}, RunEnd::Done}};
         world.submit(0, 1, jobOf({plainStep(1), plainStep(1)}));
         world.run(Milliseconds{500});
         world.linkModes[world.whereIs({1, 0, 1, 0}).value()] = LinkMode::Cut;
-        world.run(Milliseconds{1'700});
+        world.run(Milliseconds{2'500});
         const auto former = world.owner().value();
         world.kill(former);
         world.run(Milliseconds{3'000});
         world.kill(1 - former);
         world.startAgain(former);
         world.run(Milliseconds{3'000});
-        CPPUNIT_ASSERT_EQUAL(5, static_cast<int>(world.phaseAt(former, 1)));
+        CPPUNIT_ASSERT(world.phaseAt(former, 1) == JobPhase::Failed);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.startsOf({1, 0, 0, 0}));
         assertKept(world);
     }
