--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -109,6 +109,7 @@
     std::vector<CallHandle> handles; ///< Of the batch's records.
     bool inFlight = false;
     bool mayBeStored = false; ///< A send of the batch went without an answer.
+    bool wasRefused = false; ///< The last send was refused.
     Token epoch = 1; ///< Of an owner's writer: its token.
     std::uint64_t sequence = 1; ///< Of the next batch.
     std::uint64_t batches = 0; ///< Batches made.
@@ -133,6 +134,7 @@
     CallerCall call;
     CallPhase phase = CallPhase::Waiting;
     JobId job = 0;
+    std::string queue; ///< Its queue, once that was found.
 };
 
 using CallTable = Table<CallTag, Call>;
--- /dev/null
+++ b/src/dispatch/net/peer_server.cpp
@@ -0,0 +1,140 @@
+#include "dispatch/net/peer_server.h"
+
+#include "dispatch/codec/journal_codec.h"
+#include "net/http_error.h"
+
+#include <charconv>
+#include <utility>
+
+namespace flamingotally
+{
+
+using namespace dispatch;
+
+namespace
+{
+
+constexpr std::string_view advicePath = "/v1/advice";
+constexpr std::string_view storePath = "/v1/store";
+constexpr std::string_view targetField = "Store-Target"; ///< Target of the call that is passed on.
+constexpr std::string_view timeoutField = "Store-Timeout-Ms";
+constexpr std::string_view bytesType = "application/octet-stream";
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusMalformed = 400;
+constexpr unsigned statusNotSent = 503; ///< Certainly nothing was done.
+constexpr std::size_t maxStoreBytes = std::size_t{8} * 1024 * 1024;
+constexpr Milliseconds peerSlack{100}; ///< For the two hops to the peer.
+
+HttpServerSettings peerSettings()
+{
+    HttpServerSettings settings;
+    settings.maxBodyBytes = maxStoreBytes;
+    return settings;
+}
+
+Milliseconds timeoutOf(const HttpRequest &request)
+{
+    const auto text = fieldValue(request.fields, timeoutField);
+    std::int64_t ms = 1'000;
+    std::from_chars(text.data(), text.data() + text.size(), ms);
+    return Milliseconds(ms);
+}
+
+} // namespace
+
+PeerServer::PeerServer(boost::asio::io_context &io, HttpClient &client, std::string storeAddress, AdviceFunction ask)
+    : m_client(client), m_storeAddress(std::move(storeAddress)), m_ask(std::move(ask)),
+      m_server(io, peerSettings(), [this](HttpRequest request, const HttpResponder &respond) {
+          handle(std::move(request), respond);
+      })
+{
+}
+
+absl::Status PeerServer::listen(const std::string &address)
+{
+    return m_server.listen(address);
+}
+
+void PeerServer::close()
+{
+    m_server.close();
+}
+
+void PeerServer::handle(HttpRequest request, const HttpResponder &respond)
+{
+    if (request.path == advicePath) {
+        answerQuestion(request, respond);
+    } else if (request.path == storePath) {
+        passOn(std::move(request), respond);
+    } else {
+        respond({.status = statusMalformed});
+    }
+}
+
+void PeerServer::answerQuestion(const HttpRequest &request, const HttpResponder &respond)
+{
+    const auto question = decodeQuestion(request.body);
+    if (!question.ok()) {
+        respond({.status = statusMalformed});
+        return;
+    }
+    m_ask(*question, [respond](const AdviceAnswer &answer) {
+        respond({.status = statusOk, .contentType = std::string(bytesType), .body = encodeAnswer(answer)});
+    });
+}
+
+void PeerServer::passOn(HttpRequest request, const HttpResponder &respond)
+{
+    HttpCall call;
+    call.address = m_storeAddress;
+    call.method = request.method;
+    call.target = fieldValue(request.fields, targetField);
+    call.contentType = bytesType;
+    call.body = std::move(request.body);
+    call.timeout = timeoutOf(request);
+    call.maxResponseBytes = maxStoreBytes;
+    call.step = Step::Append;
+    m_client.send(std::move(call), [respond](const HttpResult &result) {
+        if (result.ok()) {
+            respond({.status = result->status, .contentType = result->contentType, .body = result->body});
+        } else if (wasNeverSent(result.status())) {
+            respond({.status = statusNotSent});
+        } else {
+            respond({.status = hangUpStatus});
+        }
+    });
+}
+
+void askThroughPeer(HttpClient &client, const AdviceQuestion &question, AdviceCallback callback)
+{
+    HttpCall call;
+    call.address = question.relay;
+    call.method = HttpMethod::Post;
+    call.target = advicePath;
+    call.contentType = bytesType;
+    call.body = encodeQuestion(question);
+    call.timeout = question.timeout;
+    call.step = Step::Place;
+    client.send(std::move(call), [number = question.number, callback = std::move(callback)](const HttpResult &result) {
+        if (result.ok() && result->status == statusOk) {
+            if (auto answer = decodeAnswer(result->body); answer.ok()) {
+                callback(*std::move(answer));
+                return;
+            }
+        }
+        AdviceAnswer failed;
+        failed.number = number;
+        callback(std::move(failed));
+    });
+}
+
+HttpCall throughPeer(HttpCall call, const std::string &peer)
+{
+    call.address = peer;
+    call.fields.push_back({std::string(targetField), std::exchange(call.target, std::string(storePath))});
+    call.fields.push_back({std::string(timeoutField), std::to_string(call.timeout.count())});
+    call.timeout += peerSlack;
+    return call;
+}
+
+} // namespace flamingotally
--- a/src/dispatch/policy/placer.h
+++ b/src/dispatch/policy/placer.h
@@ -61,14 +61,50 @@
         if (!isUsable(worker, identity)) {
             return Fit::Unsuited;
         }
-        const auto room = identity.capacity - m_entry.workers.table.get<WorkerRoom>(worker).used - reservedOn(worker);
+        const auto room = identity.capacity - m_entry.workers.table.get<WorkerRoom>(worker).used - keptOn(worker);
         if (!m_need.fitsInto(room) || !allowsAnother(worker)) {
             return Fit::NoRoom;
         }
         return judgeTicket(worker, identity);
     }
 
+    /** Tells whether a worker may run the group's tasks at all, room and tickets aside. */
+    bool isUsable(WorkerRef worker) const
+    {
+        const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
+        return isUsable(worker, identity) && m_need.fitsInto(identity.capacity);
+    }
+
+    /** Tells whether the team's limit stands in the way of another task. */
+    bool isAtLimit() const
+    {
+        return !isWithinLimit(m_step.perTask);
+    }
+
+    /** Keeps room free for tasks that wait for a ticket, or that are so large that room for them has to be gathered. */
+    void holdRoom()
+    {
+        auto waiting = waitingTasks();
+        if (waiting == 0 || isAtLimit()) {
+            return;
+        }
+        const auto &advice = m_entry.work.groups.get<GroupAdvice>(m_group);
+        for (const auto &id : advice.renewing) {
+            const auto it = m_entry.workers.byId.find(id);
+            if (it != m_entry.workers.byId.end() && waiting > 0 && judge(it->second) == Fit::NeedsTicket) {
+                m_entry.work.holds.push_back({it->second, m_need});
+                --waiting;
+            }
+        }
+        const auto waited = m_time.now - m_entry.work.groups.get<GroupState>(m_group).openedAt;
+        if (waiting > 0 && waited > gatherAfter) {
+            gatherRoom();
+        }
+    }
+
 private:
+    static constexpr Milliseconds gatherAfter{300}; ///< Large tasks that have waited so long have room gathered.
+    static constexpr std::int64_t largePart = 4; ///< A task that takes more than one such part of a worker is large.
     static constexpr Milliseconds ticketMargin{200}; ///< For the order to arrive while the ticket is valid.
     static constexpr Milliseconds heardWithin{1'900}; ///< Workers not heard for longer take nothing.
 
@@ -88,9 +124,15 @@
             || std::ranges::find(identity.labels, m_step.requiredLabel) != identity.labels.end();
     }
 
-    Resources reservedOn(WorkerRef worker) const
+    /** Room that groups that go before this one, and other members of its gang, are to have on a worker. */
+    Resources keptOn(WorkerRef worker) const
     {
         Resources sum;
+        for (const auto &it : m_entry.work.holds) {
+            if (it.worker == worker) {
+                sum += it.amount;
+            }
+        }
         for (const auto &it : m_reserved) {
             if (it.worker == worker) {
                 sum += m_need;
@@ -142,7 +184,7 @@
         const auto &room = m_entry.workers.table.get<WorkerRoom>(worker);
         Candidate it;
         it.capacity = identity.capacity;
-        it.freeAfter = identity.capacity - room.used - reservedOn(worker) - m_need;
+        it.freeAfter = identity.capacity - room.used - keptOn(worker) - m_need;
         it.nearData = m_step.dataRack.empty() || m_step.dataRack == identity.rack;
         it.isAvoided = task.avoid == worker;
         it.disturbs = (m_step.fills && room.serving > 0) || (m_step.targetResponse.count() > 0 && room.filling > 0);
@@ -150,6 +192,58 @@
         return it;
     }
 
+    std::size_t waitingTasks() const
+    {
+        const auto &tasks = m_entry.work.groups.get<GroupState>(m_group).tasks;
+        return static_cast<std::size_t>(std::ranges::count_if(
+            tasks, [&](TaskRef it) { return m_entry.work.tasks.get<TaskState>(it).phase == TaskPhase::Waiting; }));
+    }
+
+    bool isLargeOn(const Resources &capacity) const
+    {
+        return m_need.cpuMilli * largePart > capacity.cpuMilli || m_need.memoryMb * largePart > capacity.memoryMb
+            || (capacity.accelerators > 0 && m_need.accelerators * largePart > capacity.accelerators);
+    }
+
+    bool isKnownGood(const std::string &id) const
+    {
+        if (!m_treatment.advice.required) {
+            return true;
+        }
+        const auto &tickets = m_entry.work.groups.get<GroupAdvice>(m_group).byWorker;
+        const auto it = tickets.find(id);
+        return it != tickets.end() && it->second.good;
+    }
+
+    /** Keeps the worker free that is nearest to having room for a large task. */
+    void gatherRoom()
+    {
+        WorkerRef best;
+        double bestPart = -1;
+        m_entry.workers.table.forEach([&](WorkerRef worker) {
+            const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
+            const bool isCandidate = isUsable(worker) && isLargeOn(identity.capacity) && isKnownGood(identity.id)
+                && keptOn(worker) == Resources{} && allowsAnother(worker);
+            if (!isCandidate) {
+                return;
+            }
+            const auto free = identity.capacity - m_entry.workers.table.get<WorkerRoom>(worker).used;
+            const auto part = [](std::int64_t has, std::int64_t needs) {
+                return needs > 0 ? std::min(1.0, static_cast<double>(has) / static_cast<double>(needs)) : 1.0;
+            };
+            const double least = std::min({part(free.cpuMilli, m_need.cpuMilli),
+                                           part(free.memoryMb, m_need.memoryMb),
+                                           part(free.accelerators, m_need.accelerators)});
+            if (least > bestPart) {
+                best = worker;
+                bestPart = least;
+            }
+        });
+        if (best.isSet()) {
+            m_entry.work.holds.push_back({best, m_need});
+        }
+    }
+
     /** Best worker for a task; unset when none fits. */
     WorkerRef choose(const TaskState &task, const std::string &rack)
     {
--- a/src/dispatch/systems/admission.cpp
+++ b/src/dispatch/systems/admission.cpp
@@ -11,7 +11,7 @@
 {
 
 constexpr std::size_t idDigits = 16;
-constexpr Milliseconds retrySoon{300}; ///< Told to callers whose call was not run.
+constexpr Milliseconds retrySoon{500}; ///< Told to callers whose call was not run.
 constexpr std::uint32_t maxTasksPerJob = 20'000;
 constexpr std::uint32_t maxOccurrences = 100'000;
 
@@ -80,6 +80,7 @@
         if (!queue) {
             return answer(call, CallResult::UnknownQueue, "no queue");
         }
+        call.queue = queue->name;
         const auto team = teamOf(call.call);
         if (!queue->open && !team) {
             return answer(call, CallResult::UnknownKey, "no key");
@@ -213,15 +214,41 @@
     return false;
 }
 
-void giveUp(Entry &entry, Judge &judge, const Call &call)
+/** Tells whether the store takes nothing from this daemon at present. */
+bool isStoreClosed(const Entry &entry)
+{
+    return entry.journal.failures > 0 || entry.writers[static_cast<std::size_t>(JournalWriter::Entry)].wasRefused;
+}
+
+/** When a call is given up: soon while the store takes nothing, so that its caller can try elsewhere. */
+MonotonicTime giveUpAt(const Entry &entry, const Call &call)
+{
+    const auto &settings = entry.settings;
+    const auto patience = isStoreClosed(entry) ? settings.admissionPatience : settings.answerPatience;
+    return std::min(call.call.answerBy, call.call.receivedAt + patience);
+}
+
+/**
+ * Gives a call up.
+ * @return False when its record may be stored, so that it can still be waited for.
+ */
+bool giveUp(Entry &entry, Judge &judge, const Call &call, const TickTime &time)
 {
     if (call.phase == CallPhase::Waiting) {
         judge.answer(call, CallResult::NotRun, "the view is not fresh");
-    } else if (withdraw(entry, call.call.handle)) {
+        return true;
+    }
+    if (withdraw(entry, call.call.handle)) {
         judge.answer(call, CallResult::NotRun, "the store takes no records");
-    } else {
-        judge.answer(call, CallResult::Undecided, "the store has not answered");
+        return true;
+    }
+    const auto undecidedAt = std::min(call.call.answerBy, call.call.receivedAt + entry.settings.answerPatience);
+    if (time.now < undecidedAt) {
+        entry.wakeBy(undecidedAt);
+        return false;
     }
+    judge.answer(call, CallResult::Undecided, "the store has not answered");
+    return true;
 }
 
 } // namespace
@@ -230,7 +257,9 @@
 {
     Judge judge(entry, time);
     for (auto &it : entry.inbox.calls) {
-        Call call{std::move(it), CallPhase::Waiting, 0};
+        const auto last = std::string_view(it.path).substr(it.path.rfind('/') + 1);
+        const auto id = parseJobId(last).value_or(0); // for the log, whatever becomes of the call
+        Call call{std::move(it), CallPhase::Waiting, id, {}};
         const auto verdict = judge.judge(call);
         if (verdict != Verdict::Answered) {
             call.phase = verdict == Verdict::Writes ? CallPhase::Writing : CallPhase::Waiting;
@@ -247,12 +276,12 @@
             }
             call.phase = verdict == Verdict::Writes ? CallPhase::Writing : CallPhase::Waiting;
         }
-        if (time.now >= call.call.answerBy) {
-            giveUp(entry, judge, call);
+        const auto at = giveUpAt(entry, call);
+        if (time.now < at) {
+            entry.wakeBy(at);
+        } else if (giveUp(entry, judge, call, time)) {
             entry.calls.erase(ref);
-            return;
         }
-        entry.wakeBy(call.call.answerBy);
     });
 }
 
--- a/src/dispatch/systems/advice.cpp
+++ b/src/dispatch/systems/advice.cpp
@@ -10,77 +10,119 @@
 {
 
 constexpr std::size_t workersPerQuestion = 40;
-constexpr std::uint32_t questionsPerRelay = 2; ///< The service answers a machine's questions one after the other.
+constexpr std::uint32_t shortPerRelay = 4; ///< The service answers a host's questions one after the other.
+constexpr double longQuestionMs = 100; ///< Questions that take longer have a relay for themselves.
+constexpr std::size_t relaysPerShortOne = 4; ///< One relay of so many is kept for short questions.
 constexpr Milliseconds answerSlack{1'500}; ///< Beyond the time that the service says it takes.
 constexpr Milliseconds relayPause{3'000}; ///< After a failure.
 constexpr std::size_t spareWorkers = 4; ///< Asked beyond the number of tasks that wait, when known to be good.
 
+/** Tells whether a relay takes another question of this length. */
+bool takesQuestion(const Relay &relay, double costMs, const TickTime &time)
+{
+    const std::uint32_t most = costMs > longQuestionMs ? 1 : shortPerRelay;
+    return relay.asking < most && relay.busyMs <= std::max(longQuestionMs, costMs) && time.now >= relay.avoidUntil;
+}
+
+/** Tells whether long questions already have as many relays as they may. */
+bool areLongOnesFull(const AdviceState &advice)
+{
+    const auto busy = static_cast<std::size_t>(
+        std::ranges::count_if(advice.relays, [](const auto &it) { return it.second.busyMs > longQuestionMs; }));
+    const auto kept = std::max<std::size_t>(1, advice.relays.size() / relaysPerShortOne);
+    return busy + kept >= advice.relays.size() && advice.relays.size() > 1;
+}
+
 /** Daemon that will answer first; null when all have enough to do. */
-std::pair<const std::string, Relay> *findRelay(Entry &entry, const TickTime &time)
+std::pair<const std::string, Relay> *findRelay(Entry &entry, double costMs, const TickTime &time)
 {
     auto &relays = entry.advice.relays;
     for (const auto &[name, record] : entry.ownership.daemons) {
         relays.try_emplace(name);
     }
+    if (costMs > longQuestionMs && areLongOnesFull(entry.advice)) {
+        return nullptr;
+    }
     std::pair<const std::string, Relay> *best = nullptr;
     for (auto &it : relays) {
-        const bool isFree = it.second.asking < questionsPerRelay && time.now >= it.second.avoidUntil;
-        if (isFree && (!best || it.second.busyMs < best->second.busyMs)) {
+        if (takesQuestion(it.second, costMs, time) && (!best || it.second.busyMs < best->second.busyMs)) {
             best = &it;
         }
     }
     return best;
 }
 
-/** Workers to ask about: those with room whose answer is missing or has expired, the most free first. */
-std::vector<std::string> workersToAsk(Entry &entry, GroupRef group, const TickTime &time)
+/** Workers that a question is to be about. */
+struct QuestionWorkers {
+    std::vector<std::string> all;
+    std::vector<std::string> renewing; ///< Those that are known to be good.
+};
+
+/**
+ * Workers to ask about, the most free first: of those not asked yet all that could run the group, of those known to be
+ * good as many with room as there are tasks that wait.
+ */
+QuestionWorkers workersToAsk(Entry &entry, GroupRef group, const TickTime &time)
 {
     const Placer<FitChoice> placer(entry, group, time);
     const auto &known = entry.work.groups.get<GroupAdvice>(group).byWorker;
     std::vector<std::pair<std::int64_t, std::string>> fresh;
     std::vector<std::pair<std::int64_t, std::string>> expired;
     entry.workers.table.forEach([&](WorkerRef worker) {
-        if (placer.judge(worker) != Fit::NeedsTicket) {
-            return;
-        }
         const auto &identity = entry.workers.table.get<WorkerIdentity>(worker);
         const auto free = identity.capacity - entry.workers.table.get<WorkerRoom>(worker).used;
-        (known.contains(identity.id) ? expired : fresh).emplace_back(-free.cpuMilli, identity.id);
+        if (!known.contains(identity.id)) {
+            if (placer.isUsable(worker)) {
+                fresh.emplace_back(-free.cpuMilli, identity.id);
+            }
+        } else if (placer.judge(worker) == Fit::NeedsTicket) {
+            expired.emplace_back(-free.cpuMilli, identity.id);
+        }
     });
     std::ranges::sort(fresh);
     std::ranges::sort(expired);
-    std::vector<std::string> workers;
-    const auto waiting = entry.work.groups.get<GroupState>(group).tasks.size();
-    for (std::size_t n = 0; n < expired.size() && n < waiting + spareWorkers; ++n) {
-        workers.push_back(std::move(expired[n].second));
+    QuestionWorkers workers;
+    const auto tasks = entry.work.groups.get<GroupState>(group).tasks.size();
+    for (std::size_t n = 0; n < expired.size() && n < tasks + spareWorkers; ++n) {
+        workers.renewing.push_back(std::move(expired[n].second));
     }
-    for (std::size_t n = 0; n < fresh.size() && workers.size() < workersPerQuestion; ++n) {
-        workers.push_back(std::move(fresh[n].second));
+    workers.all = workers.renewing;
+    for (std::size_t n = 0; n < fresh.size() && workers.all.size() < workersPerQuestion; ++n) {
+        workers.all.push_back(std::move(fresh[n].second));
     }
     return workers;
 }
 
-void ask(Entry &entry, GroupRef group, std::pair<const std::string, Relay> &relay, const TickTime &time)
+/** Time that the service takes for a question, in milliseconds. */
+double costOf(const Entry &entry, GroupRef group, std::size_t workers)
+{
+    const auto &terms = treatmentOf(entry, group).advice;
+    return terms.decideMs + terms.perWorkerMs * static_cast<double>(workers);
+}
+
+void ask(Entry &entry, GroupRef group, const TickTime &time)
 {
     auto workers = workersToAsk(entry, group, time);
-    if (workers.empty()) {
+    const double costMs = costOf(entry, group, workers.all.size());
+    auto *relay = workers.all.empty() ? nullptr : findRelay(entry, costMs, time);
+    if (!relay) {
         return;
     }
-    const auto &terms = treatmentOf(entry, group).advice;
-    const double costMs = terms.decideMs + terms.perWorkerMs * static_cast<double>(workers.size());
     AdviceQuestion question;
     question.number = entry.advice.nextNumber++;
-    const bool isOwn = relay.first == entry.settings.name;
-    question.relay = isOwn ? std::string() : entry.ownership.daemons[relay.first].peerAddress;
-    const auto &tasks = entry.work.groups.get<GroupState>(group).tasks;
-    question.step = nameOf(entry, tasks.front());
-    question.workers = workers;
-    question.timeout = Milliseconds(static_cast<std::int64_t>(costMs + relay.second.busyMs)) + answerSlack;
-    entry.work.groups.get<GroupAdvice>(group).question = question.number;
-    ++relay.second.asking;
-    relay.second.busyMs += costMs;
+    const bool isOwn = relay->first == entry.settings.name;
+    question.relay = isOwn ? std::string() : entry.ownership.daemons[relay->first].peerAddress;
+    question.step = nameOf(entry, entry.work.groups.get<GroupState>(group).tasks.front());
+    question.workers = workers.all;
+    question.timeout = Milliseconds(static_cast<std::int64_t>(costMs + relay->second.busyMs)) + answerSlack;
+    auto &advice = entry.work.groups.get<GroupAdvice>(group);
+    advice.question = question.number;
+    advice.renewing = std::move(workers.renewing);
+    ++advice.questions;
+    ++relay->second.asking;
+    relay->second.busyMs += costMs;
     ++entry.counters.questions;
-    entry.advice.questions[question.number] = {group, relay.first, std::move(workers), costMs};
+    entry.advice.questions[question.number] = {group, relay->first, std::move(workers.all), costMs};
     entry.outbox.questions.push_back(std::move(question));
 }
 
@@ -118,7 +160,10 @@
         if (!entry.work.groups.contains(question.group)) {
             continue;
         }
-        entry.work.groups.get<GroupAdvice>(question.group).question = 0;
+        auto &advice = entry.work.groups.get<GroupAdvice>(question.group);
+        advice.question = 0;
+        advice.renewing.clear();
+        advice.answeredAt = time.now;
         if (answer.failed) {
             relay.avoidUntil = time.now + relayPause;
             note(entry, EventKind::AdviceFailed, 0, "relay={} workers={}", question.relay, question.workers.size());
@@ -134,11 +179,7 @@
         if (entry.work.groups.get<GroupAdvice>(group).question != 0) {
             continue;
         }
-        auto *relay = findRelay(entry, time);
-        if (!relay) {
-            return;
-        }
-        ask(entry, group, *relay, time);
+        ask(entry, group, time);
     }
 }
 
--- a/src/dispatch/systems/placement.cpp
+++ b/src/dispatch/systems/placement.cpp
@@ -77,14 +77,18 @@
 {
     const auto &identity = entry.work.groups.get<GroupIdentity>(group);
     const auto &state = entry.work.groups.get<GroupState>(group);
+    const auto &advice = entry.work.groups.get<GroupAdvice>(group);
+    const auto answeredAfter = std::max(Milliseconds{0}, Milliseconds(advice.answeredAt - state.openedAt));
     note(entry,
          EventKind::RunPlaced,
          entry.jobs.table.get<JobIdentity>(identity.job).id,
-         "step={} tasks={} of={} waited_ms={} config={}",
+         "step={} tasks={} of={} waited_ms={} questions={} answered_after_ms={} config={}",
          identity.step,
          placed,
          state.tasks.size(),
          (time.now - state.openedAt).count(),
+         advice.questions,
+         answeredAfter.count(),
          entry.config.current.version);
 }
 
@@ -115,15 +119,20 @@
     entry.work.changed = false;
     tidyWaiting(entry);
     sortWaiting<FairOrder>(entry);
+    entry.work.holds.clear();
     for (const auto group : entry.work.waiting) {
         Placer<FitChoice> placer(entry, group, time);
         if (const auto placed = placer.place(); placed > 0) {
             notePlaced(entry, group, placed, time);
         }
-        if (placer.lacksTickets() && hasWaiting(entry, group)) {
+        const bool isNew = entry.work.groups.get<GroupAdvice>(group).questions == 0;
+        const bool needsAdvice = treatmentOf(entry, group).advice.required && (isNew || placer.lacksTickets());
+        if (needsAdvice && hasWaiting(entry, group)) {
             entry.advice.wanted.push_back(group);
         }
+        placer.holdRoom();
     }
+    entry.work.holds.clear();
     tidyWaiting(entry);
     entry.wakeBy(entry.work.fullPassAt);
 }
--- a/src/dispatch/systems/read_journal.cpp
+++ b/src/dispatch/systems/read_journal.cpp
@@ -198,7 +198,8 @@
         return;
     }
     view.reading = true;
-    entry.outbox.readJournal = JournalReadOrder{!view.loaded, view.nextOffset, entry.settings.journalWait};
+    const auto wait = view.failures > 0 ? Milliseconds::zero() : entry.settings.journalWait;
+    entry.outbox.readJournal = JournalReadOrder{!view.loaded, view.nextOffset, wait};
 }
 
 } // namespace flamingotally::dispatch
--- a/src/dispatch/systems/write_journal.cpp
+++ b/src/dispatch/systems/write_journal.cpp
@@ -30,7 +30,8 @@
         note(entry,
              isSubmission ? EventKind::JobAccepted : EventKind::JobCancelled,
              call.job,
-             "config={} waited_ms={}",
+             "queue={} config={} waited_ms={}",
+             call.queue,
              entry.config.current.version,
              (time.now - call.call.receivedAt).count());
         entry.outbox.answers.push_back(
@@ -81,6 +82,7 @@
         return;
     }
     writer.inFlight = false;
+    writer.wasRefused = answer.outcome == JournalOutcome::Refused;
     switch (answer.outcome) {
     case JournalOutcome::Stored: {
         finishBatch(entry, writer, answer.writer, time);
--- a/src/dispatch/work_base.h
+++ b/src/dispatch/work_base.h
@@ -60,7 +60,9 @@
 struct GroupAdvice {
     absl::flat_hash_map<std::string, Ticket> byWorker; ///< By the worker's id.
     std::uint64_t question = 0; ///< Question under way; zero for none.
-    MonotonicTime askAgainAt{};
+    std::uint32_t questions = 0; ///< Questions asked so far.
+    MonotonicTime answeredAt{}; ///< When the last answer came; zero before.
+    std::vector<std::string> renewing; ///< Workers known to be good that the question under way is about.
 };
 
 using GroupTable = Table<GroupTag, GroupIdentity, GroupState, GroupAdvice>;
@@ -117,6 +119,12 @@
     }
 };
 
+/** Room that a pass keeps free on a worker for a group that goes before those that come after it. */
+struct RoomHold {
+    WorkerRef worker;
+    Resources amount;
+};
+
 /** All work in hand. Empty on daemons that are not the owner. */
 struct Work {
     OccurrenceTable occurrences;
@@ -129,6 +137,7 @@
     std::vector<GroupRef> waiting; ///< Groups with tasks that wait, in no order.
     std::vector<OccurrenceRef> dirty; ///< Occurrences whose progress is to be written.
     std::vector<std::pair<JobRef, std::uint32_t>> upcoming; ///< Jobs with their next occurrence that is not open.
+    std::vector<RoomHold> holds; ///< Of the pass under way.
     MonotonicTime passAt{}; ///< No pass over what waits before this.
     MonotonicTime fullPassAt{}; ///< A pass is due then although nothing has changed.
     bool changed = false; ///< Something may be placed that could not be before.
