Repeat unanswered orders after 200 ms and look at workers every half second

Change: orders time out after 200 ms and are repeated 20 ms later, holds wait 500 ms; repeats are harmless (same run, same token). Store reads every 35 ms by the owner, 180 ms by the others.

--- a/src/dispatch/entry_settings.h
+++ b/src/dispatch/entry_settings.h
@@ -22,16 +22,16 @@
     std::string adviceAddress{};
     LogLevel logLevel = LogLevel::Info;
     Milliseconds configFreshness{1'700}; ///< Older views of the configuration decide nothing.
-    Milliseconds journalGather{120}; ///< Pause of a follower between two reads of the journal.
-    Milliseconds ownerGather{25}; ///< Pause of the owner between two reads of the journal.
+    Milliseconds journalGather{180}; ///< Pause of a follower between two reads of the journal.
+    Milliseconds ownerGather{35}; ///< Pause of the owner between two reads of the journal.
     Milliseconds journalWait{500}; ///< How long a read of the journal may wait for a record.
     Milliseconds beatInterval{300}; ///< The owner writes at least this often.
     Milliseconds ownerTimeout{1'300}; ///< A journal in which the owner wrote nothing for so long has none.
     Milliseconds claimStagger{60}; ///< Between the claims of two daemons that see it at once.
     Milliseconds isolationLimit{8'000}; ///< An owner that cannot write gives no more orders after this time.
     Milliseconds lease{5'500}; ///< Length of the leases of workers.
-    Milliseconds holdWait{1'000}; ///< How long a worker may wait for an end before it answers.
-    Milliseconds orderTimeout{700}; ///< For a start or a stop to be answered.
+    Milliseconds holdWait{500}; ///< How long a worker may wait for an end before it answers.
+    Milliseconds orderTimeout{200}; ///< For a start or a stop to be answered.
     Milliseconds appendGather{20}; ///< Pause between two batches of a writer.
     Milliseconds admissionPatience{400}; ///< How long a request waits for a store that takes nothing.
     Milliseconds answerPatience{2'000}; ///< How long a request waits for a store that does not answer.
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -14,12 +14,13 @@
 {
 
 constexpr Milliseconds afterSilence{250}; ///< Next hold after one that went without an answer.
-constexpr Milliseconds resendPause{150};
+constexpr Milliseconds resendPause{20}; ///< A repeated order is harmless, and the lost one may be carried out late.
+constexpr Milliseconds unsentPause{150}; ///< After an order that did not leave this host.
 constexpr Milliseconds healthPause{2'000}; ///< A worker that calls itself unhealthy is left alone.
 constexpr Milliseconds failingPause{6'000}; ///< A worker on which everything fails is left alone.
 constexpr Milliseconds fullPause{300};
 constexpr std::uint32_t failuresInRow = 3; ///< Runs that fail in a row on a worker before it counts as failing.
-constexpr std::uint32_t maxSends = 4; ///< Starts sent without an answer before the run is given up.
+constexpr std::uint32_t maxSends = 6; ///< Starts sent without an answer before the run is given up.
 constexpr std::uint32_t silentHolds = 2; ///< Holds without an answer before a worker counts as silent.
 constexpr RunNumber numberSkip = 16; ///< Skipped when a worker has seen higher numbers of a task.
 constexpr int clockPercent = 103; ///< A lease may last so much longer by this daemon's clock.
@@ -184,7 +185,7 @@
              (link.leaseOverAt - time.now).count(),
              entry.workers.table.get<WorkerRoom>(answer.worker).runs.size());
     }
-    link.holdAt = time.now + afterSilence;
+    link.holdAt = time.now + (link.silent == 1 ? resendPause : afterSilence);
 }
 
 void takeHold(Entry &entry, const HoldAnswer &answer, const TickTime &time)
@@ -287,7 +288,7 @@
         ++entry.counters.unansweredOrders;
         [[fallthrough]];
     case OrderResult::NeverSent:
-        state.sendAt = time.now + resendPause;
+        state.sendAt = time.now + (answer.result == OrderResult::NoAnswer ? resendPause : unsentPause);
         if (isOpen && state.sends >= maxSends) {
             giveUpStart(entry, answer.run, time);
         }
@@ -312,7 +313,7 @@
     } else if (answer.result == OrderResult::Gone) {
         endAllRuns(entry, entry.work.runs.get<RunIdentity>(answer.run).worker, "another worker has its address", time);
     } else {
-        state.sendAt = time.now + resendPause;
+        state.sendAt = time.now + (answer.result == OrderResult::NoAnswer ? resendPause : unsentPause);
     }
 }
 
