Bound the wait for runs of a former owner by what it says of itself

Change: an owner renews for 3 s after its last stored record, not 8; one that gives up or starts again says so, and the new owner then waits one lease; silence counts half while the store answers slowly. A test fails without the resignation.

--- a/src/dispatch/codec/entry_settings_codec.cpp
+++ b/src/dispatch/codec/entry_settings_codec.cpp
@@ -26,6 +26,9 @@
     if (m_settings.holdWait * 2 > m_settings.lease) {
         return settingsError("leaseMs must be at least twice holdWaitMs");
     }
+    if (processorMilli(m_settings) == 0) {
+        return settingsError("processorShare must be a decimal number above 0.001");
+    }
     return m_settings;
 }
 
--- a/src/dispatch/entry.cpp
+++ b/src/dispatch/entry.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/entry_func.h"
 
+#include <charconv>
+
 namespace flamingotally::dispatch
 {
 
@@ -10,6 +12,15 @@
 
 } // namespace
 
+std::uint32_t processorMilli(const EntrySettings &settings)
+{
+    constexpr double milli = 1'000;
+    double share = 0;
+    const auto &text = settings.processorShare;
+    std::from_chars(text.data(), text.data() + text.size(), share);
+    return share > 0 ? static_cast<std::uint32_t>(share * milli) : 0;
+}
+
 void write(Entry &entry, JournalWriter which, JournalRecord record, CallHandle handle)
 {
     entry.writer(which).queue.push_back({std::move(record), handle});
@@ -30,7 +41,9 @@
     auto &ownership = entry.ownership;
     if (ownership.phase == OwnerPhase::Owner) {
         ++entry.counters.resignations;
-        note(entry, EventKind::OwnershipLost, 0, "token={} cause={}", ownership.token, cause);
+        note(entry, EventKind::OwnershipLost, 0, "token={} cause=\"{}\"", ownership.token, cause);
+        ownership.resigned = ownership.token;
+        write(entry, JournalWriter::Entry, ownRecord(entry));
     }
     ownership.phase = OwnerPhase::Follower;
     ownership.ownerWroteAt = entry.tickedAt;
@@ -54,9 +67,25 @@
     return MonotonicTime{wall - entry.wall.offset};
 }
 
-Milliseconds isolationTail(const EntrySettings &settings)
+MonotonicTime formerLeasesOverAt(const Entry &entry)
+{
+    const auto &ownership = entry.ownership;
+    const auto tail = entry.settings.lease + leaseMargin;
+    if (ownership.formerHeldLong && ownership.formerGoneAt != MonotonicTime{}) {
+        return ownership.formerGoneAt + tail;
+    }
+    return ownership.claimedAt + entry.settings.isolationLimit + tail;
+}
+
+DaemonRecord ownRecord(const Entry &entry)
 {
-    return settings.isolationLimit + settings.lease + leaseMargin;
+    const auto &settings = entry.settings;
+    return {settings.name,
+            entry.incarnation,
+            settings.domain,
+            settings.peerAddress,
+            processorMilli(settings),
+            entry.ownership.resigned};
 }
 
 } // namespace flamingotally::dispatch
--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -73,6 +73,8 @@
     MonotonicTime readAt{}; ///< When the last read was answered.
     MonotonicTime readingSince{}; ///< Reads were answered without a gap since then.
     std::uint32_t failures = 0; ///< Reads failed in a row.
+    Milliseconds waits{0}; ///< How long the read under way may wait.
+    MonotonicTime slowUntil{}; ///< The store was seen to answer slowly; silence means less until then.
 };
 
 /** Part that this daemon plays. */
@@ -90,8 +92,13 @@
     ClaimRecord newest; ///< Newest claim in the journal.
     Token token = 0; ///< Own token, while claiming or owner.
     MonotonicTime claimedAt{}; ///< When the own claim was read back.
+    ClaimRecord former; ///< While owner: the claim before the own one.
+    MonotonicTime formerGoneAt{}; ///< When the former owner was known to give no more orders; zero before.
+    MonotonicTime newestReadAt{}; ///< When the newest claim was read as it was written; zero when it was there before.
+    bool formerHeldLong = false; ///< The former owner held on for so long that nobody's before its orders are in force.
     MonotonicTime ownerWroteAt{}; ///< When a record of the owner was last read.
     MonotonicTime contactAt{}; ///< While owner: when the last batch that was stored had been sent.
+    Token resigned = 0; ///< Highest own token that was given up.
     MonotonicTime backoffUntil{}; ///< No claim before this.
     std::map<std::string, DaemonRecord> daemons; ///< By name.
 };
--- a/src/dispatch/entry_func.h
+++ b/src/dispatch/entry_func.h
@@ -21,7 +21,7 @@
 /** Number of the batch that will hold what the owner queues now. */
 std::uint64_t nextOwnerBatch(const Entry &entry);
 
-/** Tells whether the owner may give orders: it has written lately, so nobody else's orders can be in force. */
+/** Tells whether the owner may start runs and renew leases: it has written lately, so nobody else owns. */
 bool mayOrder(const Entry &entry, const TickTime &time);
 
 /** Gives ownership up in this daemon's eyes: forgets all work in hand. */
@@ -33,7 +33,10 @@
 /** Monotonic time at which a wall time is reached. */
 MonotonicTime monotonicAt(const Entry &entry, Milliseconds wall);
 
-/** Longest time for which a worker may still run what an owner ordered that was cut off. */
-Milliseconds isolationTail(const EntrySettings &settings);
+/** By when a worker that this owner has not heard runs nothing any more of what former owners ordered. */
+MonotonicTime formerLeasesOverAt(const Entry &entry);
+
+/** What this daemon says of itself in the journal. */
+DaemonRecord ownRecord(const Entry &entry);
 
 } // namespace flamingotally::dispatch
--- a/src/dispatch/entry_settings.h
+++ b/src/dispatch/entry_settings.h
@@ -20,6 +20,7 @@
     std::string metricsAddress = "127.0.0.1:8083";
     std::string storeAddress = "127.0.0.1:8070";
     std::string adviceAddress{};
+    std::string processorShare = "1"; ///< Part of a core that the host gives, as a decimal number.
     LogLevel logLevel = LogLevel::Info;
     Milliseconds configFreshness{1'700}; ///< Older views of the configuration decide nothing.
     Milliseconds journalGather{180}; ///< Pause of a follower between two reads of the journal.
@@ -28,7 +29,7 @@
     Milliseconds beatInterval{300}; ///< The owner writes at least this often.
     Milliseconds ownerTimeout{1'300}; ///< A journal in which the owner wrote nothing for so long has none.
     Milliseconds claimStagger{60}; ///< Between the claims of two daemons that see it at once.
-    Milliseconds isolationLimit{8'000}; ///< An owner that cannot write gives no more orders after this time.
+    Milliseconds isolationLimit{3'000}; ///< An owner that cannot write renews and starts nothing after this time.
     Milliseconds lease{5'500}; ///< Length of the leases of workers.
     Milliseconds holdWait{500}; ///< How long a worker may wait for an end before it answers.
     Milliseconds orderTimeout{200}; ///< For a start or a stop to be answered.
@@ -39,4 +40,7 @@
     Milliseconds jobRetention{600'000}; ///< How long jobs that have ended are kept.
 };
 
+/** Processor of the host in thousandths of a core; zero when the setting is no number. */
+std::uint32_t processorMilli(const EntrySettings &settings);
+
 } // namespace flamingotally::dispatch
--- a/src/dispatch/journal_type.h
+++ b/src/dispatch/journal_type.h
@@ -103,11 +103,13 @@
     std::uint64_t incarnation = 0;
     std::string domain;
     std::string peerAddress; ///< "IP:port".
+    std::uint32_t processorMilli = 0; ///< Thousandths of a core of its host.
+    Token resigned = 0; ///< Highest token under which it gives no more orders.
 
     template<typename Visitor>
     void fields(Visitor &&visitor)
     {
-        visitor(name, incarnation, domain, peerAddress);
+        visitor(name, incarnation, domain, peerAddress, processorMilli, resigned);
     }
 };
 
--- a/src/dispatch/systems/order.cpp
+++ b/src/dispatch/systems/order.cpp
@@ -117,7 +117,7 @@
     order.id = identity.id;
     order.address = identity.address;
     order.token = entry.ownership.token;
-    const bool renews = link.known && !room.runs.empty() && link.silent == 0;
+    const bool renews = link.known && !room.runs.empty() && link.silent == 0 && mayOrder(entry, time);
     order.leaseUntil = renews ? extendLease(entry, link, time) : WorkerTime{};
     order.acknowledged = link.endsStored;
     const bool waits = link.known && link.silent == 0 && !room.runs.empty();
@@ -215,15 +215,20 @@
 
 void orderSystem(Entry &entry, const TickTime &time)
 {
-    if (!mayOrder(entry, time)) {
+    if (!entry.isOwner()) {
         return;
     }
-    entry.work.runs.forEach([&](RunRef run) { orderRun(entry, run, time); });
+    const bool mayStart = mayOrder(entry, time);
+    entry.work.runs.forEach([&](RunRef run) {
+        if (mayStart || entry.work.runs.get<RunState>(run).phase == RunPhase::Stopping) {
+            orderRun(entry, run, time);
+        }
+    });
 }
 
 void holdSystem(Entry &entry, const TickTime &time)
 {
-    if (!mayOrder(entry, time)) {
+    if (!entry.isOwner()) {
         return;
     }
     entry.workers.table.forEach([&](WorkerRef worker) {
--- a/src/dispatch/systems/ownership.cpp
+++ b/src/dispatch/systems/ownership.cpp
@@ -13,22 +13,26 @@
 
 constexpr Milliseconds longestStagger{600};
 constexpr Milliseconds readLag{700}; ///< The journal must have been read this lately for silence to mean anything.
+constexpr int slowFactor = 2; ///< Silence counts for less while the store answers slowly.
 constexpr std::uint64_t firstSequences = 1'000'000'007; ///< Claims of two daemons under one token differ in these.
 
-/** Place of this daemon in the order in which daemons claim after a token; differs from token to token. */
+/** Order of a daemon among those that claim after a token: larger hosts first, else it differs from token to token. */
+std::pair<std::int64_t, std::uint64_t> claimKey(const DaemonRecord &daemon, Token token)
+{
+    std::uint64_t hash = 14'695'981'039'346'656'037ULL ^ token;
+    for (const char c : daemon.name) {
+        hash = (hash ^ static_cast<unsigned char>(c)) * 1'099'511'628'211ULL;
+    }
+    return {-static_cast<std::int64_t>(daemon.processorMilli), hash};
+}
+
+/** Place of this daemon in the order in which daemons claim after a token. */
 std::size_t rankAfter(const Entry &entry, Token token)
 {
-    const auto keyOf = [token](const std::string &name) {
-        std::uint64_t hash = 14'695'981'039'346'656'037ULL ^ token;
-        for (const char c : name) {
-            hash = (hash ^ static_cast<unsigned char>(c)) * 1'099'511'628'211ULL;
-        }
-        return hash;
-    };
-    const auto own = keyOf(entry.settings.name);
+    const auto own = claimKey(ownRecord(entry), token);
     std::size_t rank = 0;
     for (const auto &[name, record] : entry.ownership.daemons) {
-        rank += keyOf(name) < own ? 1 : 0;
+        rank += claimKey(record, token) < own ? 1 : 0;
     }
     return rank;
 }
@@ -57,10 +61,10 @@
         entry.settings.claimStagger * static_cast<std::int64_t>(rankAfter(entry, ownership.newest.token)),
         longestStagger);
     const auto quietSince = std::max(ownership.ownerWroteAt, journal.readingSince);
-    const auto patience = isOwnerGone(entry) ? stagger : entry.settings.ownerTimeout + stagger;
-    const auto dueAt = quietSince + patience;
+    const auto silence = entry.settings.ownerTimeout * (time.now < journal.slowUntil ? slowFactor : 1);
+    const auto dueAt = quietSince + stagger + (isOwnerGone(entry) ? Milliseconds{0} : silence);
     entry.wakeBy(dueAt);
-    return time.now >= dueAt && (isOwnerGone(entry) || journal.readAt >= quietSince + entry.settings.ownerTimeout);
+    return time.now >= dueAt && (isOwnerGone(entry) || journal.readAt >= quietSince + silence);
 }
 
 void claim(Entry &entry, const TickTime &time)
@@ -105,9 +109,7 @@
     }
     if (!entry.introduced && entry.journal.loaded) {
         entry.introduced = true;
-        write(entry,
-              JournalWriter::Entry,
-              DaemonRecord{entry.settings.name, entry.incarnation, entry.settings.domain, entry.settings.peerAddress});
+        write(entry, JournalWriter::Entry, ownRecord(entry));
     }
     auto &ownership = entry.ownership;
     switch (ownership.phase) {
--- a/src/dispatch/systems/read_journal.cpp
+++ b/src/dispatch/systems/read_journal.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr Milliseconds retryPause{100};
+constexpr Milliseconds slowAnswer{120}; ///< Beyond the time that a read may wait; the store is slow then.
+constexpr Milliseconds slowMemory{3'000};
 constexpr Milliseconds frozenAfter{1'000}; ///< Longer gaps between ticks mean that the process stood still.
 
 /** Applies records; one overload a kind. */
@@ -67,10 +69,14 @@
         if (record.token <= ownership.newest.token && !isRelease) {
             return;
         }
-        ownership.newest = record;
+        const auto former = std::exchange(ownership.newest, record);
+        const auto formerReadAt = std::exchange(ownership.newestReadAt, m_live ? m_time.now : MonotonicTime{});
         const bool isOwn = record.owner == m_entry.settings.name && record.incarnation == m_entry.incarnation;
         if (isOwn && ownership.phase == OwnerPhase::Claiming && record.token == ownership.token) {
             m_becomesOwner = true;
+            ownership.former = former;
+            ownership.formerHeldLong =
+                formerReadAt != MonotonicTime{} && m_time.now - formerReadAt > m_entry.settings.isolationLimit;
         } else if (ownership.phase != OwnerPhase::Follower) {
             resign(m_entry, "a newer claim was read");
         }
@@ -82,6 +88,30 @@
         if (record.incarnation >= known.incarnation) {
             known = record;
         }
+        if (m_entry.isOwner()) {
+            noteFormerGone();
+        }
+    }
+
+    /** Notes when the former owner has gone: it gave up, has resigned, or has started again. */
+    void noteFormerGone()
+    {
+        auto &ownership = m_entry.ownership;
+        const auto &former = ownership.former;
+        const auto it = ownership.daemons.find(former.owner);
+        const bool isGone = former.owner.empty()
+            || (it != ownership.daemons.end()
+                && (it->second.incarnation > former.incarnation || it->second.resigned >= former.token));
+        if (!isGone || ownership.formerGoneAt != MonotonicTime{}) {
+            return;
+        }
+        ownership.formerGoneAt = m_time.now;
+        m_entry.workers.table.forEach([&](WorkerRef worker) {
+            auto &link = m_entry.workers.table.get<WorkerLink>(worker);
+            if (!link.known) {
+                link.leaseOverAt = std::min(link.leaseOverAt, formerLeasesOverAt(m_entry));
+            }
+        });
     }
 
     void operator()(const BeatRecord & /*record*/)
@@ -120,6 +150,8 @@
     ownership.phase = OwnerPhase::Owner;
     ownership.claimedAt = time.now;
     ownership.contactAt = time.now;
+    ownership.formerGoneAt = {};
+    Applier(entry, time, 0, true).noteFormerGone();
     buildWork(entry, time);
     note(entry,
          EventKind::OwnershipTaken,
@@ -147,6 +179,10 @@
         view.loaded = true;
         view.nextOffset = read.nextOffset;
     }
+    const bool isSlow = read.entries.empty() && time.now - read.askedAt > view.waits + slowAnswer;
+    if (isSlow) {
+        view.slowUntil = time.now + slowMemory;
+    }
     view.asOf = std::max(view.asOf, read.askedAt);
     view.readAt = time.now;
     if (view.failures > 0) {
@@ -199,6 +235,7 @@
     }
     view.reading = true;
     const auto wait = view.failures > 0 ? Milliseconds::zero() : entry.settings.journalWait;
+    view.waits = wait;
     entry.outbox.readJournal = JournalReadOrder{!view.loaded, view.nextOffset, wait};
 }
 
--- a/src/dispatch/work.cpp
+++ b/src/dispatch/work.cpp
@@ -407,7 +407,7 @@
         WorkerIdentity identity;
         identity.id = id;
         WorkerLink link;
-        link.leaseOverAt = entry.ownership.claimedAt + isolationTail(entry.settings);
+        link.leaseOverAt = formerLeasesOverAt(entry);
         it->second = entry.workers.table.insert(std::move(identity), {}, {}, std::move(link));
     }
     return it->second;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(knowsAllAfterEverythingWasRestartedAndTheHistoryIsGone);
     CPPUNIT_TEST(endsRunsOfAWorkerThatWasBornAgain);
     CPPUNIT_TEST(aFrozenOwnerDoesNoHarm);
+    CPPUNIT_TEST(waitsNoLongerThanALeaseOnceTheFormerOwnerHasResigned);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -447,6 +448,26 @@
         assertKept(world);
     }
 
+    /** A lasting task on a worker that had left was placed again only 14 s after a change of owner. */
+    void waitsNoLongerThanALeaseOnceTheFormerOwnerHasResigned()
+    {
+        DispatchWorld world(3, 3);
+        world.run(settling + Milliseconds{4'000});
+        auto step = plainStep(1);
+        step.endless = true;
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{90'000}, RunEnd::Done}};
+        world.submit(0, 1, jobOf({step}));
+        world.run(Milliseconds{500});
+        world.linkModes[world.whereIs({1, 0, 0, 0}).value()] = LinkMode::Cut;
+        const auto former = world.owner().value();
+        world.storeModes[former] = StoreMode::Silent;
+        world.run(Milliseconds{3'000});
+        world.storeModes[former] = StoreMode::Up;
+        world.run(Milliseconds{6'500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.startsOf({1, 0, 0, 0}));
+        assertKept(world);
+    }
+
 private:
     /** Wall time of the world's daemons. */
     static Milliseconds wallAt(DispatchWorld &world)
