Serve first what can still be in time, and refuse within a quarter of the caller's time

Change: groups are ordered by what can still be had of them (lost ones last, then priority, in time before late), nothing is placed while a batch waits for 500 ms, a start without a valid ticket is not sent, and a call to a closed store is given up within a quarter of its time.

--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -121,6 +121,7 @@
     std::uint64_t sequence = 1; ///< Of the next batch.
     std::uint64_t batches = 0; ///< Batches made.
     std::uint64_t stored = 0; ///< Batches stored.
+    MonotonicTime madeAt{}; ///< When the batch was made.
     MonotonicTime sentAt{};
     MonotonicTime sendAt{}; ///< No send before this.
     Milliseconds latency{20}; ///< Smoothed time of an answer.
--- a/src/dispatch/policy/group_order.h
+++ b/src/dispatch/policy/group_order.h
@@ -9,11 +9,20 @@
 namespace flamingotally::dispatch
 {
 
+/** What can still be had of an occurrence. Lower values go first. */
+enum class Prospect : std::uint8_t {
+    InTime,
+    Late, ///< Past its objective, but within three times that.
+    Lost, ///< Too late to be of use; it still runs when there is room.
+    End,
+};
+
 /** What an order may look at. */
 struct GroupView {
     std::uint32_t priority = 0; ///< Of the queue; lower goes first.
     double use = 0; ///< What the team holds, in cores, by its share.
     MonotonicTime objectiveAt{}; ///< When the occurrence has to be done to be in time.
+    Prospect prospect = Prospect::InTime;
     bool endless = false;
 };
 
@@ -26,11 +35,12 @@
         } -> std::totally_ordered;
 };
 
-/** By priority, then by the team that has least of its share, then by the objective. */
+/** What is lost goes last; then by priority, prospect, the team that has least of its share, and the objective. */
 struct FairOrder {
     static auto key(const GroupView &view)
     {
-        return std::tuple(view.priority, view.endless ? 0 : 1, view.use, view.objectiveAt);
+        const bool isLost = view.prospect == Prospect::Lost;
+        return std::tuple(isLost, view.priority, view.endless ? 0 : 1, view.prospect, view.use, view.objectiveAt);
     }
 };
 
--- a/src/dispatch/systems/admission.cpp
+++ b/src/dispatch/systems/admission.cpp
@@ -220,12 +220,20 @@
     return entry.journal.failures > 0 || entry.writers[static_cast<std::size_t>(JournalWriter::Entry)].wasRefused;
 }
 
-/** When a call is given up: soon while the store takes nothing, so that its caller can try elsewhere. */
-MonotonicTime giveUpAt(const Entry &entry, const Call &call)
+/** How long a call may wait: not long while the store takes nothing, so that its caller can try elsewhere in time. */
+Milliseconds patienceFor(const Entry &entry, const Call &call)
 {
+    constexpr int partOfTime = 4; ///< A call is given up in such a part of the time that its caller has.
     const auto &settings = entry.settings;
-    const auto patience = isStoreClosed(entry) ? settings.admissionPatience : settings.answerPatience;
-    return std::min(call.call.answerBy, call.call.receivedAt + patience);
+    if (!isStoreClosed(entry)) {
+        return settings.answerPatience;
+    }
+    return std::min(settings.admissionPatience, Milliseconds(call.call.answerBy - call.call.receivedAt) / partOfTime);
+}
+
+MonotonicTime giveUpAt(const Entry &entry, const Call &call)
+{
+    return std::min(call.call.answerBy, call.call.receivedAt + patienceFor(entry, call));
 }
 
 /**
@@ -242,7 +250,8 @@
         judge.answer(call, CallResult::NotRun, "the store takes no records");
         return true;
     }
-    const auto undecidedAt = std::min(call.call.answerBy, call.call.receivedAt + entry.settings.answerPatience);
+    const auto patience = std::max(2 * patienceFor(entry, call), entry.settings.admissionPatience);
+    const auto undecidedAt = std::min(call.call.answerBy, call.call.receivedAt + patience);
     if (time.now < undecidedAt) {
         entry.wakeBy(undecidedAt);
         return false;
--- a/src/dispatch/systems/order.cpp
+++ b/src/dispatch/systems/order.cpp
@@ -38,11 +38,12 @@
     return link.leaseUntil;
 }
 
-std::string ticketFor(const Entry &entry, GroupRef group, const std::string &worker)
+/** Ticket of a group for a worker; null when there is none that is valid. */
+const Ticket *ticketFor(const Entry &entry, GroupRef group, const std::string &worker, const TickTime &time)
 {
     const auto &tickets = entry.work.groups.get<GroupAdvice>(group).byWorker;
     const auto it = tickets.find(worker);
-    return it == tickets.end() ? std::string() : it->second.text;
+    return it != tickets.end() && it->second.validUntil > time.now ? &it->second : nullptr;
 }
 
 void sendStart(Entry &entry, RunRef run, const TickTime &time)
@@ -50,10 +51,16 @@
     const auto identity = entry.work.runs.get<RunIdentity>(run);
     auto &link = entry.workers.table.get<WorkerLink>(identity.worker);
     auto &state = entry.work.runs.get<RunState>(run);
-    state.inFlight = true;
-    ++state.sends;
     const auto &worker = entry.workers.table.get<WorkerIdentity>(identity.worker);
     const auto group = entry.work.tasks.get<TaskIdentity>(identity.task).group;
+    const auto *ticket = ticketFor(entry, group, worker.id, time);
+    const bool isTooLate = treatmentOf(entry, group).advice.required && !ticket;
+    if (isTooLate && state.sends == 0) {
+        forgetRun(entry, run, time);
+        return;
+    }
+    state.inFlight = true;
+    ++state.sends;
     const auto job = entry.work.groups.get<GroupIdentity>(group).job;
     StartOrder order;
     order.run = run;
@@ -63,7 +70,7 @@
     order.address = worker.address;
     order.payload = entry.jobs.table.get<JobPlan>(job).spec.payload;
     order.checkpoint = entry.work.tasks.get<TaskState>(identity.task).checkpoint;
-    order.ticket = ticketFor(entry, group, worker.id);
+    order.ticket = ticket ? ticket->text : std::string();
     order.token = entry.ownership.token;
     order.leaseUntil = extendLease(entry, link, time);
     entry.outbox.starts.push_back(std::move(order));
--- a/src/dispatch/systems/placement.cpp
+++ b/src/dispatch/systems/placement.cpp
@@ -12,9 +12,21 @@
 
 constexpr double coresPerAccelerator = 8; ///< For comparing what teams hold.
 constexpr double milliPerCore = 1'000;
+constexpr int lateFactor = 3; ///< An end is of use within so many times the objective.
+constexpr Milliseconds unstoredLimit{500}; ///< Nothing is placed while a batch waits longer to be stored.
 constexpr Milliseconds passInterval{10}; ///< Least time between two passes over what waits.
 
-GroupView viewOf(const Entry &entry, GroupRef group)
+/** What can still be had of an occurrence whose objective is known, when a group of it begins now. */
+Prospect prospectOf(MonotonicTime dueAt, Milliseconds objective, Milliseconds chain, const TickTime &time)
+{
+    const auto doneAt = time.now + chain;
+    if (doneAt <= dueAt + objective) {
+        return Prospect::InTime;
+    }
+    return doneAt <= dueAt + objective * lateFactor ? Prospect::Late : Prospect::Lost;
+}
+
+GroupView viewOf(const Entry &entry, GroupRef group, const TickTime &time)
 {
     const auto &identity = entry.work.groups.get<GroupIdentity>(group);
     const auto &treatment = treatmentOf(entry, group);
@@ -31,10 +43,14 @@
             + coresPerAccelerator * static_cast<double>(held.accelerators);
         view.use = cores / std::max(config.current.teams[it->second].share, 1e-6);
     }
-    const auto dueAt = entry.work.occurrences.get<OccurrenceWork>(identity.occurrence).dueAt;
-    const auto work =
-        Milliseconds(static_cast<std::int64_t>(treatment.stretch * static_cast<double>(step.runEstimate.count())));
-    view.objectiveAt = dueAt + work + treatment.targetLatency;
+    const auto &occurrence = entry.work.occurrences.get<OccurrenceWork>(identity.occurrence);
+    const auto longest = *std::ranges::max_element(occurrence.chains);
+    const auto stretched = static_cast<std::int64_t>(treatment.stretch * static_cast<double>(longest.count()));
+    const auto objective = Milliseconds(stretched) + treatment.targetLatency;
+    view.objectiveAt = occurrence.dueAt + objective;
+    if (!step.endless) {
+        view.prospect = prospectOf(occurrence.dueAt, objective, occurrence.chains[identity.step], time);
+    }
     return view;
 }
 
@@ -59,13 +75,13 @@
 }
 
 template<GroupOrder Order>
-void sortWaiting(Entry &entry)
+void sortWaiting(Entry &entry, const TickTime &time)
 {
     using Key = decltype(Order::key(GroupView{}));
     std::vector<std::pair<Key, GroupRef>> keyed;
     keyed.reserve(entry.work.waiting.size());
     for (const auto it : entry.work.waiting) {
-        keyed.emplace_back(Order::key(viewOf(entry, it)), it);
+        keyed.emplace_back(Order::key(viewOf(entry, it, time)), it);
     }
     std::ranges::sort(keyed);
     for (std::size_t n = 0; n < keyed.size(); ++n) {
@@ -100,6 +116,10 @@
     if (!mayOrder(entry, time)) {
         return;
     }
+    const auto &writer = entry.writer(JournalWriter::Owner);
+    if (writer.batch && time.now - writer.madeAt > unstoredLimit) {
+        return;
+    }
     openDueOccurrences(entry, time);
     if (entry.work.waiting.empty()) {
         entry.work.changed = false;
@@ -118,7 +138,7 @@
     entry.work.fullPassAt = time.now + fullPassInterval;
     entry.work.changed = false;
     tidyWaiting(entry);
-    sortWaiting<FairOrder>(entry);
+    sortWaiting<FairOrder>(entry, time);
     entry.work.holds.clear();
     for (const auto group : entry.work.waiting) {
         Placer<FitChoice> placer(entry, group, time);
--- a/src/dispatch/systems/write_journal.cpp
+++ b/src/dispatch/systems/write_journal.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::size_t recordsPerBatch = 500;
 constexpr Milliseconds refusedPause{120};
+constexpr Milliseconds slowAnswer{150};
+constexpr Milliseconds slowMemory{3'000};
 constexpr Milliseconds claimBackoff{400}; ///< For the newer claim to be read.
 constexpr Milliseconds shortestTimeout{450};
 constexpr Milliseconds longestTimeout{3'000};
@@ -54,6 +56,9 @@
 {
     const auto taken = time.now - writer.sentAt;
     writer.latency = (writer.latency * 3 + taken) / 4;
+    if (taken > slowAnswer) {
+        entry.journal.slowUntil = time.now + slowMemory;
+    }
     ++writer.stored;
     ++writer.sequence;
     writer.batch.reset();
@@ -186,6 +191,7 @@
                 queueProgress(entry);
             }
             makeBatch(writer, which);
+            writer.madeAt = time.now;
         }
         sendBatch(entry, writer, time);
     }
--- a/src/dispatch/work.cpp
+++ b/src/dispatch/work.cpp
@@ -143,6 +143,19 @@
     }
 }
 
+/** Longest chain of estimated work that begins with each step. */
+std::vector<Milliseconds> chainsOf(const JobSpec &spec)
+{
+    std::vector<Milliseconds> chains(spec.steps.size(), Milliseconds{0});
+    for (std::size_t n = spec.steps.size(); n-- > 0;) {
+        chains[n] += spec.steps[n].runEstimate;
+        for (const auto earlier : spec.steps[n].after) {
+            chains[earlier] = std::max(chains[earlier], chains[n]);
+        }
+    }
+    return chains;
+}
+
 void openOccurrence(Entry &entry, JobRef job, std::uint32_t number, MonotonicTime dueAt, const TickTime &time)
 {
     auto &work = entry.work;
@@ -152,6 +165,7 @@
     const auto &known = entry.jobs.table.get<JobState>(job).occurrences[number];
     state.begun = known.begun;
     state.outcome = known.outcome;
+    state.chains = chainsOf(spec);
     const auto occurrence = work.occurrences.insert({job, number}, std::move(state));
     work.byJob[job].push_back(occurrence);
     for (std::uint32_t n = 0; n < spec.steps.size(); ++n) {
@@ -164,6 +178,16 @@
     completeIfDone(entry, occurrence);
 }
 
+/** When an occurrence may begin; for jobs without times when they were accepted. */
+MonotonicTime dueAt(const Entry &entry, JobRef job, std::uint32_t number)
+{
+    const auto &repetition = entry.jobs.table.get<JobPlan>(job).spec.repetition;
+    if (repetition.times == 0) {
+        return std::min(entry.tickedAt, monotonicAt(entry, entry.jobs.table.get<JobIdentity>(job).acceptedAt));
+    }
+    return monotonicAt(entry, repetition.firstAt + repetition.interval * number);
+}
+
 /** Frees what a run holds and takes it out of the tables. */
 void eraseRun(Entry &entry, RunRef run)
 {
@@ -349,18 +373,16 @@
     for (std::size_t n = 0; n < upcoming.size();) {
         auto &[job, number] = upcoming[n];
         const bool isLive = entry.jobs.table.contains(job) && !hasEnded(entry.jobs.table.get<JobState>(job));
-        const auto &repetition = entry.jobs.table.get<JobPlan>(job).spec.repetition;
         const auto &state = entry.jobs.table.get<JobState>(job);
         while (isLive && number < state.occurrences.size()) {
-            const bool isDue = repetition.times == 0 || state.occurrences[number].begun;
-            const auto due = isDue ? time.now : monotonicAt(entry, repetition.firstAt + repetition.interval * number);
-            if (due > time.now) {
+            const auto due = dueAt(entry, job, number);
+            if (due > time.now && !state.occurrences[number].begun) {
                 entry.wakeBy(due);
                 break;
             }
             const auto current = number++;
             if (state.occurrences[current].outcome == OccurrenceOutcome::None) {
-                openOccurrence(entry, job, current, due, time);
+                openOccurrence(entry, job, current, std::min(due, time.now), time);
             }
         }
         if (!isLive || number >= state.occurrences.size()) {
--- a/src/dispatch/work_base.h
+++ b/src/dispatch/work_base.h
@@ -26,6 +26,7 @@
     OccurrenceOutcome outcome = OccurrenceOutcome::None;
     std::uint32_t live = 0; ///< Runs that hold room.
     std::vector<GroupRef> groups; ///< By step.
+    std::vector<Milliseconds> chains; ///< By step: estimated time of the longest chain of steps that begins with it.
 };
 
 using OccurrenceTable = Table<OccurrenceTag, OccurrenceIdentity, OccurrenceWork>;
