Play the platform's protocol in the stand-in, test the adapter on it, and show metrics

Change: standin/platform_standin speaks store, workers and policy service over HTTP with the models that the world of tests uses; ten cases run two daemons against it on loopback (two steps, refusals, lost answers, busy store, records of other writers) and read messages. Counters, rejections by reason and latency histograms stand on the metrics address.

--- a/src/core/table.h
+++ b/src/core/table.h
@@ -19,7 +19,7 @@
     std::uint32_t index = invalidIndex; ///< Place of the row in its table.
     std::uint32_t generation = 0; ///< How often that place was used before.
 
-    friend auto operator<=>(const Ref &, const Ref &) = default;
+    friend auto operator<=>(const Ref &, const Ref &) = default; // NOLINT(modernize-use-nullptr)
 
     /** Tells whether this address was ever set. The row itself may be gone: ask the table. */
     bool isSet() const
--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -7,6 +7,7 @@
 #include "dispatch/work_base.h"
 #include "dispatch/worker_base.h"
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <map>
@@ -178,6 +179,34 @@
     MonotonicTime candidateSince{}; ///< ... since then.
 };
 
+/** Step whose time is counted. */
+enum class LatencyKind : std::uint8_t {
+    Accept, ///< From a request to its record in the journal.
+    QueueWait, ///< From the opening of a group to the placement of tasks of it.
+    Append, ///< Of a batch that was stored, from its last send.
+    Read, ///< Of a read of the journal, the time that it waited for a record included.
+    Start, ///< Of a start that was taken.
+    Hold, ///< Of a hold that was answered, the time that the worker waited included.
+    End,
+};
+
+constexpr std::array latencyBounds{Milliseconds{5},
+                                   Milliseconds{10},
+                                   Milliseconds{20},
+                                   Milliseconds{50},
+                                   Milliseconds{100},
+                                   Milliseconds{200},
+                                   Milliseconds{500},
+                                   Milliseconds{1'000},
+                                   Milliseconds{2'000},
+                                   Milliseconds{5'000}};
+
+/** How often a step took how long. */
+struct Latency {
+    std::array<std::uint64_t, latencyBounds.size() + 1> counts{}; ///< By bound; the last one counts what is longer.
+    Milliseconds sum{0};
+};
+
 /** Figures for /metrics. */
 struct EntryCounters {
     std::uint64_t ticks = 0;
@@ -188,11 +217,21 @@
     std::uint64_t claims = 0;
     std::uint64_t resignations = 0;
     std::uint64_t lostRuns = 0;
-    std::uint64_t rejectedStarts = 0;
+    std::array<std::uint64_t, enumSize<OrderResult>> rejectedStarts{};
+    std::array<Latency, enumSize<LatencyKind>> latencies{};
     std::uint64_t unansweredOrders = 0;
     std::uint64_t batches = 0;
     std::uint64_t questions = 0;
     std::uint64_t droppedLines = 0;
+
+    /** Counts one step. */
+    void observe(LatencyKind kind, Milliseconds time)
+    {
+        auto &latency = latencies[static_cast<std::size_t>(kind)];
+        const auto it = std::ranges::lower_bound(latencyBounds, time);
+        ++latency.counts[static_cast<std::size_t>(it - latencyBounds.begin())];
+        latency.sum += time;
+    }
     std::array<std::uint64_t, enumSize<RunEnd>> ends{};
 };
 
--- a/src/dispatch/job_type.h
+++ b/src/dispatch/job_type.h
@@ -98,7 +98,7 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
 
-    friend auto operator<=>(const TaskName &, const TaskName &) = default;
+    friend auto operator<=>(const TaskName &, const TaskName &) = default; // NOLINT(modernize-use-nullptr)
 
     template<typename Hash>
     friend Hash AbslHashValue(Hash state, const TaskName &name)
--- a/src/dispatch/systems/admission.cpp
+++ b/src/dispatch/systems/admission.cpp
@@ -120,7 +120,7 @@
                  (m_time.now - m_entry.journal.asOf).count(),
                  (m_time.now - call.call.receivedAt).count());
         }
-        m_entry.outbox.answers.push_back(std::move(it));
+        m_entry.outbox.answers.push_back(it);
         return Verdict::Answered;
     }
 
--- a/src/dispatch/systems/placement.cpp
+++ b/src/dispatch/systems/placement.cpp
@@ -94,6 +94,7 @@
     const auto &identity = entry.work.groups.get<GroupIdentity>(group);
     const auto &state = entry.work.groups.get<GroupState>(group);
     const auto &advice = entry.work.groups.get<GroupAdvice>(group);
+    entry.counters.observe(LatencyKind::QueueWait, time.now - state.openedAt);
     const auto answeredAfter = std::max(Milliseconds{0}, Milliseconds(advice.answeredAt - state.openedAt));
     note(entry,
          EventKind::RunPlaced,
--- a/src/dispatch/systems/read_journal.cpp
+++ b/src/dispatch/systems/read_journal.cpp
@@ -179,6 +179,7 @@
         view.loaded = true;
         view.nextOffset = read.nextOffset;
     }
+    entry.counters.observe(LatencyKind::Read, time.now - read.askedAt);
     const bool isSlow = read.entries.empty() && time.now - read.askedAt > view.waits + slowAnswer;
     if (isSlow) {
         view.slowUntil = time.now + slowMemory;
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -214,6 +214,7 @@
              entry.workers.table.get<WorkerIdentity>(answer.worker).id);
     }
     entry.work.changed = entry.work.changed || !link.known || link.silent > 0;
+    entry.counters.observe(LatencyKind::Hold, answer.receivedAt - answer.sentAt);
     link.silent = 0;
     link.known = true;
     link.heardAt = time.now;
@@ -244,7 +245,7 @@
     auto &health = entry.workers.table.get<WorkerHealth>(identity.worker);
     const auto group = entry.work.tasks.get<TaskIdentity>(identity.task).group;
     auto &task = entry.work.tasks.get<TaskState>(identity.task);
-    ++entry.counters.rejectedStarts;
+    ++entry.counters.rejectedStarts[static_cast<std::size_t>(result)];
     note(entry,
          EventKind::StartRejected,
          nameOf(entry, identity.task).job,
@@ -278,6 +279,7 @@
             state.phase = RunPhase::Running;
             state.settledAt = answer.receivedAt;
             ++entry.counters.starts;
+            entry.counters.observe(LatencyKind::Start, answer.receivedAt - answer.sentAt);
         }
         break;
     case OrderResult::Gone:
--- a/src/dispatch/systems/write_journal.cpp
+++ b/src/dispatch/systems/write_journal.cpp
@@ -29,6 +29,7 @@
         }
         const bool isSubmission = call.call.verb == CallVerb::Submit;
         entry.counters.accepted += isSubmission ? 1 : 0;
+        entry.counters.observe(LatencyKind::Accept, time.now - call.call.receivedAt);
         note(entry,
              isSubmission ? EventKind::JobAccepted : EventKind::JobCancelled,
              call.job,
@@ -56,6 +57,7 @@
 {
     const auto taken = time.now - writer.sentAt;
     writer.latency = (writer.latency * 3 + taken) / 4;
+    entry.counters.observe(LatencyKind::Append, taken);
     if (taken > slowAnswer) {
         entry.journal.slowUntil = time.now + slowMemory;
     }
--- a/src/dispatch/table/dispatch_table.h
+++ b/src/dispatch/table/dispatch_table.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/enum_table.h"
-#include "dispatch/message_type.h"
+#include "dispatch/entry_base.h"
 
 namespace flamingotally::dispatch
 {
@@ -50,4 +50,14 @@
 }};
 static_assert(isComplete(orderResultTable));
 
+constexpr EnumTable<LatencyKind> latencyKindTable{{
+    {LatencyKind::Accept, "accept"},
+    {LatencyKind::QueueWait, "queue_wait"},
+    {LatencyKind::Append, "append"},
+    {LatencyKind::Read, "read"},
+    {LatencyKind::Start, "start"},
+    {LatencyKind::Hold, "hold"},
+}};
+static_assert(isComplete(latencyKindTable));
+
 } // namespace flamingotally::dispatch
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,244 @@
+/** @file platform_test.cpp The adapter end to end: entry daemons against the stand-in over the published protocol. */
+#include "config_codec.h"
+#include "entry_daemon.h"
+#include "job_codec.h"
+#include "net_fixture.h"
+#include "platform_standin.h"
+
+#include <boost/json.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+#include <memory>
+
+using namespace flamingotally;
+using namespace flamingotally::dispatch;
+
+namespace
+{
+
+constexpr const char *configText = R"({"version":3,"routes":[
+    {"name":"r","host":"queue.example","pathPrefix":"/q/","service":"pool","priority":0,"maxAttempts":2,"stretch":2.0,
+     "targetLatencyMs":100,"advice":{"decideMs":1.0,"eachMs":0.1,"validMs":2000},"public":false}],
+    "services":[{"name":"pool","rejectsOverload":false}],
+    "tenants":[{"name":"red","apiKeys":["red key"],"weight":2,"upperLimit":{"cpu":0,"memMb":0,"gpu":0}}]})";
+
+constexpr const char *jobText = R"({"spec":"text","steps":[
+    {"count":3,"cpu":500,"memMb":256,"estRuntimeMs":100},
+    {"count":2,"cpu":1000,"memMb":256,"estRuntimeMs":100,"dependsOn":[0]}]})";
+
+/** A free port of loopback; another process may take it before it is used. */
+std::string freeAddress(boost::asio::io_context &io)
+{
+    boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port());
+}
+
+/** Two daemons before one platform. */
+struct PlatformScene {
+    explicit PlatformScene(std::size_t workers) : standin(io, workers)
+    {
+        standin.put("keyed.op", "config", configText);
+        for (const char *name : {"d0", "d1"}) {
+            EntrySettings settings;
+            settings.name = name;
+            settings.frontAddress = freeAddress(io);
+            settings.readyAddress = freeAddress(io);
+            settings.peerAddress = freeAddress(io);
+            settings.metricsAddress = freeAddress(io);
+            settings.storeAddress = standin.storeAddress();
+            settings.adviceAddress = standin.adviceAddress();
+            settings.logLevel = LogLevel::Error;
+            fronts.push_back(settings.frontAddress);
+            metrics.push_back(settings.metricsAddress);
+            daemons.push_back(std::make_unique<platform::EntryDaemon>(io, settings, [] {}));
+            CPPUNIT_ASSERT(daemons.back()->start().ok());
+        }
+    }
+
+    HttpResponse call(std::size_t daemon, HttpMethod method, const std::string &path, const std::string &body = {})
+    {
+        HttpCall it;
+        it.address = fronts[daemon];
+        it.method = method;
+        it.target = path;
+        it.fields = {{"Host", "queue.example"}, {"Authorization", "Bearer " + key}};
+        it.body = body;
+        it.timeout = Milliseconds{10'000};
+        const auto result = callAndWait(io, client, std::move(it));
+        CPPUNIT_ASSERT(result.ok());
+        return *result;
+    }
+
+    std::string stateOf(std::size_t daemon, const std::string &path)
+    {
+        const auto response = call(daemon, HttpMethod::Get, path);
+        CPPUNIT_ASSERT_EQUAL(200U, response.status);
+        return std::string(boost::json::parse(response.body).as_object().at("state").as_string());
+    }
+
+    /** Asks until a job is in a state. */
+    void awaitState(std::size_t daemon, const std::string &path, const std::string &state)
+    {
+        while (stateOf(daemon, path) != state) {
+            boost::asio::steady_timer timer(io, Milliseconds{20});
+            bool isDue = false;
+            timer.async_wait([&isDue](const boost::system::error_code &) { isDue = true; });
+            runUntil(io, [&isDue] { return isDue; });
+        }
+    }
+
+    /** Hands a job in, again while it was not run. */
+    void submit(std::size_t daemon, const std::string &path, const std::string &body)
+    {
+        while (call(daemon, HttpMethod::Post, path, body).status == 503) { }
+    }
+
+    boost::asio::io_context io;
+    HttpClient client{io};
+    standin::PlatformStandin standin;
+    std::vector<std::string> fronts;
+    std::vector<std::string> metrics;
+    std::vector<std::unique_ptr<platform::EntryDaemon>> daemons;
+    std::string key = "red key";
+};
+
+constexpr const char *jobPath = "/q/00000000000000a1";
+
+} // namespace
+
+class PlatformTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformTest);
+    CPPUNIT_TEST(runsAJobOfTwoSteps);
+    CPPUNIT_TEST(tellsWhatIsUnknown);
+    CPPUNIT_TEST(failsWhatFailsEverywhere);
+    CPPUNIT_TEST(storesOnceWhenAnswersAreLost);
+    CPPUNIT_TEST(saysWhenToComeBackWhileTheStoreIsBusy);
+    CPPUNIT_TEST(survivesRecordsOfOtherWriters);
+    CPPUNIT_TEST(showsMetrics);
+    CPPUNIT_TEST(readsJobs);
+    CPPUNIT_TEST(readsWorkers);
+    CPPUNIT_TEST(readsNamesOfTasks);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void runsAJobOfTwoSteps()
+    {
+        PlatformScene scene(2);
+        scene.submit(0, jobPath, jobText);
+        scene.awaitState(1, jobPath, "completed");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, scene.standin.startsOf({0xa1, 0, 0, 2}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, scene.standin.startsOf({0xa1, 0, 1, 1}));
+        CPPUNIT_ASSERT(scene.standin.questions >= 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, scene.standin.rejectedTickets);
+        CPPUNIT_ASSERT_EQUAL(200U, scene.call(1, HttpMethod::Post, jobPath, jobText).status);
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"waiting":0})"), scene.call(0, HttpMethod::Get, "/q/").body);
+    }
+
+    void tellsWhatIsUnknown()
+    {
+        PlatformScene scene(1);
+        scene.submit(0, jobPath, jobText);
+        CPPUNIT_ASSERT_EQUAL(404U, scene.call(0, HttpMethod::Post, "/other/00000000000000a2", jobText).status);
+        CPPUNIT_ASSERT_EQUAL(410U, scene.call(0, HttpMethod::Get, "/q/00000000000000a2").status);
+        CPPUNIT_ASSERT_EQUAL(410U, scene.call(0, HttpMethod::Delete, "/q/00000000000000a2").status);
+        CPPUNIT_ASSERT_EQUAL(400U, scene.call(0, HttpMethod::Post, "/q/00000000000000a2", "{\"steps\":3}").status);
+        scene.key = "no key";
+        CPPUNIT_ASSERT_EQUAL(401U, scene.call(0, HttpMethod::Post, "/q/00000000000000a2", jobText).status);
+    }
+
+    void failsWhatFailsEverywhere()
+    {
+        PlatformScene scene(2);
+        scene.standin.failing = {"i-0", "i-1"};
+        scene.submit(0, jobPath, jobText);
+        scene.awaitState(1, jobPath, "failed");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, scene.standin.startsOf({0xa1, 0, 1, 0}));
+    }
+
+    void storesOnceWhenAnswersAreLost()
+    {
+        PlatformScene scene(2);
+        scene.submit(1, jobPath, jobText);
+        scene.standin.fault = standin::StoreFault::LosesAnswers;
+        CPPUNIT_ASSERT_EQUAL(504U, scene.call(1, HttpMethod::Post, "/q/00000000000000a2", jobText).status);
+        scene.standin.fault = standin::StoreFault::None;
+        scene.awaitState(0, "/q/00000000000000a2", "completed");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, scene.standin.startsOf({0xa2, 0, 0, 0}));
+    }
+
+    void saysWhenToComeBackWhileTheStoreIsBusy()
+    {
+        PlatformScene scene(1);
+        scene.submit(0, jobPath, jobText);
+        scene.standin.fault = standin::StoreFault::Busy;
+        const auto response = scene.call(0, HttpMethod::Post, "/q/00000000000000a2", jobText);
+        CPPUNIT_ASSERT_EQUAL(503U, response.status);
+        CPPUNIT_ASSERT(!fieldValue(response.fields, "Retry-After").empty());
+        scene.standin.fault = standin::StoreFault::None;
+        scene.awaitState(0, jobPath, "completed");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, scene.standin.startsOf({0xa2, 0, 0, 0}));
+    }
+
+    void survivesRecordsOfOtherWriters()
+    {
+        PlatformScene scene(1);
+        scene.standin.put("keyed.servers", "i-x", "not json");
+        scene.standin.put("keyed.servers", "i-y", R"({"service":"pool","address":7,"state":"resting"})");
+        scene.standin.put("keyed.op", "config", "{");
+        scene.standin.put("keyed.op", "unknown", "{}");
+        scene.standin.put("keyed.flamingotally", "p0", "garbage");
+        scene.submit(0, jobPath, jobText);
+        scene.awaitState(1, jobPath, "completed");
+    }
+
+    void showsMetrics()
+    {
+        PlatformScene scene(1);
+        scene.submit(0, jobPath, jobText);
+        HttpCall call;
+        call.address = scene.metrics[0];
+        call.target = "/metrics";
+        const auto result = callAndWait(scene.io, scene.client, std::move(call));
+        CPPUNIT_ASSERT(result.ok());
+        CPPUNIT_ASSERT(result->body.find("flamingotally_accepted_jobs_total 1") != std::string::npos);
+    }
+
+    void readsJobs()
+    {
+        const auto spec = platform::decodeJob(jobText);
+        CPPUNIT_ASSERT(spec.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, spec->steps.size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{500}, spec->steps[0].perTask.cpuMilli);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, spec->steps[1].after.front());
+        for (const char *bad : {"", "[]", "{}", R"({"steps":[1]})", R"({"steps":"x"})", "{\"steps\":[{]}"}) {
+            CPPUNIT_ASSERT(!platform::decodeJob(bad).has_value());
+        }
+    }
+
+    void readsWorkers()
+    {
+        const auto worker = platform::decodeWorker(
+            "i-1",
+            R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining","remainingMs":900,"born":5,
+                "capacity":{"cpu":1000,"memMb":2,"gpu":1},"labels":["a","r1"],"newField":[]})");
+        CPPUNIT_ASSERT(worker.has_value());
+        CPPUNIT_ASSERT(worker->draining && worker->remaining == Milliseconds{900});
+        CPPUNIT_ASSERT_EQUAL(std::string("r1"), worker->rack);
+        CPPUNIT_ASSERT(!platform::decodeWorker("i-1", R"({"address":"10.0.0.1:80","state":"ready"})").has_value());
+        CPPUNIT_ASSERT(!platform::decodeConfiguration(R"({"routes":[]})").has_value());
+    }
+
+    void readsNamesOfTasks()
+    {
+        const TaskName task{0x5c0e7a21d94b36f8, 3, 1, 17};
+        CPPUNIT_ASSERT_EQUAL(std::string("5c0e7a21d94b36f8.3.1.17"), platform::formatTask(task));
+        CPPUNIT_ASSERT(platform::parseTask("5c0e7a21d94b36f8.3.1.17") == std::optional(task));
+        for (const char *bad : {"", "5c.1.2", "5c.1.2.x", "xx.1.2.3", "5c.1.2.3.4"}) {
+            CPPUNIT_ASSERT(!platform::parseTask(bad).has_value());
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformTest);
