--- a/scripts/check-docs.sh
+++ b/scripts/check-docs.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs the indented commands of a page as written, in order, and fails at the first that fails.
-# Usage: scripts/check-docs.sh docs/OPERATORS.md
+# Usage: scripts/check-docs.sh docs/OPERATIONS.md
 set -euo pipefail
 cd "$(dirname "$0")/.."
 commands=$(mktemp)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,5 +5,6 @@
 scripts/setup.sh
 scripts/build.sh
 scripts/format.sh
+scripts/check-words.sh
 scripts/lint.sh
 "${BUILD_DIR:-build}/flamingotally-tests"
--- /dev/null
+++ b/src/dispatch/work_end.cpp
@@ -0,0 +1,226 @@
+#include "dispatch/work_func.h"
+
+#include "dispatch/entry_func.h"
+#include "dispatch/table/dispatch_table.h"
+#include "dispatch/work_step.h"
+
+#include <algorithm>
+
+namespace flamingotally::dispatch
+{
+
+namespace
+{
+
+/** Fails a job one of whose tasks has used up its attempts. */
+void failJob(Entry &entry, OccurrenceRef occurrence, const TickTime &time)
+{
+    auto &state = entry.work.occurrences.get<OccurrenceWork>(occurrence);
+    if (state.closed) {
+        return;
+    }
+    const auto job = entry.work.occurrences.get<OccurrenceIdentity>(occurrence).job;
+    state.outcome = OccurrenceOutcome::Failed;
+    markDirty(entry.work, occurrence);
+    note(entry,
+         EventKind::JobFailed,
+         entry.jobs.table.get<JobIdentity>(job).id,
+         "max_attempts={}",
+         entry.jobs.table.get<JobPlan>(job).treatment.maxAttempts);
+    closeJob(entry, job, time);
+}
+
+/** Frees what a run holds and takes it out of the tables. */
+void eraseRun(Entry &entry, RunRef run)
+{
+    auto &work = entry.work;
+    const auto identity = work.runs.get<RunIdentity>(run);
+    const auto &state = work.runs.get<RunState>(run);
+    const auto group = work.tasks.get<TaskIdentity>(identity.task).group;
+    const auto &step = stepOf(entry, group);
+    auto &room = entry.workers.table.get<WorkerRoom>(identity.worker);
+    room.used -= state.held;
+    room.serving -= step.targetResponse.count() > 0 ? 1 : 0;
+    room.filling -= step.fills ? 1 : 0;
+    std::erase(room.runs, run);
+    const auto job = work.groups.get<GroupIdentity>(group).job;
+    work.teamUse[entry.jobs.table.get<JobIdentity>(job).team] -= state.charged;
+    --work.occurrences.get<OccurrenceWork>(occurrenceOf(work, identity.task)).live;
+    work.runByTask.erase(nameOf(entry, identity.task));
+    work.tasks.get<TaskState>(identity.task).run = {};
+    work.runs.erase(run);
+    work.changed = true;
+}
+
+/** Lets a task wait for its next run. */
+void returnTask(Entry &entry, TaskRef task)
+{
+    auto &work = entry.work;
+    auto &state = work.tasks.get<TaskState>(task);
+    const auto occurrence = occurrenceOf(work, task);
+    const bool isClosed = work.occurrences.get<OccurrenceWork>(occurrence).closed;
+    state.phase = isClosed ? TaskPhase::Dropped : TaskPhase::Waiting;
+    markDirty(work, occurrence);
+    if (!isClosed) {
+        listGroup(work, work.tasks.get<TaskIdentity>(task).group);
+    }
+}
+
+void completeTask(Entry &entry, TaskRef task, const TickTime &time)
+{
+    auto &work = entry.work;
+    auto &state = work.tasks.get<TaskState>(task);
+    const auto group = work.tasks.get<TaskIdentity>(task).group;
+    const auto occurrence = occurrenceOf(work, task);
+    if (state.phase != TaskPhase::Done) {
+        state.phase = TaskPhase::Done;
+        state.checkpoint.clear();
+        ++work.groups.get<GroupState>(group).done;
+    }
+    markDirty(work, occurrence);
+    if (isDone(work, group)) {
+        openGroups(entry, occurrence, time);
+        completeIfDone(entry, occurrence);
+    }
+}
+
+/** Counts a failed run of a task that stands alone; fails the job at its last attempt. */
+void countFailure(Entry &entry, TaskRef task, const TickTime &time)
+{
+    const auto group = entry.work.tasks.get<TaskIdentity>(task).group;
+    if (stepOf(entry, group).endless) {
+        return;
+    }
+    auto &state = entry.work.tasks.get<TaskState>(task);
+    if (++state.failures >= treatmentOf(entry, group).maxAttempts) {
+        failJob(entry, occurrenceOf(entry.work, task), time);
+    }
+}
+
+/** Ends the run of a task that stands alone. */
+void endSingle(Entry &entry, TaskRef task, RunEnd how, const TickTime &time)
+{
+    const auto group = entry.work.tasks.get<TaskIdentity>(task).group;
+    if (how == RunEnd::Done && !stepOf(entry, group).endless) {
+        completeTask(entry, task, time);
+        return;
+    }
+    if (how == RunEnd::Failed) {
+        countFailure(entry, task, time);
+    }
+    returnTask(entry, task);
+}
+
+/** Counts a failed run of a gang, once for all members. */
+void countGangFailure(Entry &entry, GroupRef group, RunNumber number, const TickTime &time)
+{
+    auto &state = entry.work.groups.get<GroupState>(group);
+    if (state.failedRun == number) {
+        return;
+    }
+    state.failedRun = number;
+    ++state.failures;
+    for (const auto it : state.tasks) {
+        entry.work.tasks.get<TaskState>(it).failures = state.failures;
+    }
+    if (state.failures >= treatmentOf(entry, group).maxAttempts && !stepOf(entry, group).endless) {
+        failJob(entry, entry.work.groups.get<GroupIdentity>(group).occurrence, time);
+    }
+}
+
+/** Ends one member of a gang: the others end with it. */
+void endMember(Entry &entry, TaskRef task, RunEnd how, RunNumber number, const TickTime &time)
+{
+    auto &work = entry.work;
+    const auto group = work.tasks.get<TaskIdentity>(task).group;
+    const auto tasks = work.groups.get<GroupState>(group).tasks;
+    if (how == RunEnd::Failed) {
+        countGangFailure(entry, group, number, time);
+    }
+    if (how == RunEnd::Done) {
+        for (const auto it : tasks) {
+            completeTask(entry, it, time);
+        }
+    }
+    for (const auto it : tasks) {
+        if (const auto run = work.tasks.get<TaskState>(it).run; run.isSet()) {
+            stopRun(entry, run, time);
+        }
+    }
+    if (work.tasks.get<TaskState>(task).phase != TaskPhase::Done) {
+        returnTask(entry, task);
+    }
+}
+
+} // namespace
+
+void endRun(Entry &entry, RunRef run, RunEnd how, const std::string &checkpoint, const TickTime &time)
+{
+    auto &work = entry.work;
+    const auto identity = work.runs.get<RunIdentity>(run);
+    const auto group = work.tasks.get<TaskIdentity>(identity.task).group;
+    ++entry.counters.ends[static_cast<std::size_t>(how)];
+    const auto name = nameOf(entry, identity.task);
+    note(entry,
+         EventKind::RunEnded,
+         name.job,
+         "task={}.{}.{} run={} worker={} how={}",
+         name.occurrence,
+         name.step,
+         name.index,
+         identity.number,
+         entry.workers.table.get<WorkerIdentity>(identity.worker).id,
+         flamingotally::nameOf(runEndTable, how));
+    eraseRun(entry, run);
+    if (!checkpoint.empty()) {
+        work.tasks.get<TaskState>(identity.task).checkpoint = checkpoint;
+    }
+    if (how == RunEnd::Failed) {
+        work.tasks.get<TaskState>(identity.task).avoid = identity.worker;
+    }
+    if (stepOf(entry, group).gang) {
+        endMember(entry, identity.task, how, identity.number, time);
+    } else {
+        endSingle(entry, identity.task, how, time);
+    }
+}
+
+void forgetRun(Entry &entry, RunRef run, const TickTime &time)
+{
+    const auto identity = entry.work.runs.get<RunIdentity>(run);
+    const auto group = entry.work.tasks.get<TaskIdentity>(identity.task).group;
+    eraseRun(entry, run);
+    if (entry.work.tasks.get<TaskState>(identity.task).phase != TaskPhase::Done) {
+        returnTask(entry, identity.task);
+    }
+    if (!stepOf(entry, group).gang) {
+        return;
+    }
+    const auto tasks = entry.work.groups.get<GroupState>(group).tasks;
+    for (const auto it : tasks) {
+        if (const auto other = entry.work.tasks.get<TaskState>(it).run; other.isSet()) {
+            stopRun(entry, other, time);
+        }
+    }
+}
+
+void endAllRuns(Entry &entry, WorkerRef worker, std::string_view cause, const TickTime &time)
+{
+    const auto runs = entry.workers.table.get<WorkerRoom>(worker).runs;
+    for (const auto run : runs) {
+        if (!entry.work.runs.contains(run)) {
+            continue;
+        }
+        const auto task = entry.work.runs.get<RunIdentity>(run).task;
+        ++entry.counters.lostRuns;
+        note(entry,
+             EventKind::RunLost,
+             nameOf(entry, task).job,
+             "worker={} cause={}",
+             entry.workers.table.get<WorkerIdentity>(worker).id,
+             cause);
+        endRun(entry, run, RunEnd::Lapsed, {}, time);
+    }
+}
+
+} // namespace flamingotally::dispatch
--- /dev/null
+++ b/src/dispatch/work_step.cpp
@@ -0,0 +1,76 @@
+#include "dispatch/work_step.h"
+
+#include "dispatch/entry_func.h"
+
+#include <algorithm>
+
+namespace flamingotally::dispatch
+{
+
+void markDirty(Work &work, OccurrenceRef occurrence)
+{
+    auto &state = work.occurrences.get<OccurrenceWork>(occurrence);
+    if (!state.dirty) {
+        state.dirty = true;
+        work.dirty.push_back(occurrence);
+    }
+}
+
+void listGroup(Work &work, GroupRef group)
+{
+    auto &state = work.groups.get<GroupState>(group);
+    if (state.open && !state.listed) {
+        state.listed = true;
+        work.waiting.push_back(group);
+    }
+    work.changed = true;
+}
+
+OccurrenceRef occurrenceOf(const Work &work, TaskRef task)
+{
+    const auto group = work.tasks.get<TaskIdentity>(task).group;
+    return work.groups.get<GroupIdentity>(group).occurrence;
+}
+
+bool isDone(const Work &work, GroupRef group)
+{
+    const auto &state = work.groups.get<GroupState>(group);
+    return state.done == state.tasks.size();
+}
+
+void openGroups(Entry &entry, OccurrenceRef occurrence, const TickTime &time)
+{
+    auto &work = entry.work;
+    const auto &state = work.occurrences.get<OccurrenceWork>(occurrence);
+    if (state.closed) {
+        return;
+    }
+    const auto &steps =
+        entry.jobs.table.get<JobPlan>(work.occurrences.get<OccurrenceIdentity>(occurrence).job).spec.steps;
+    for (std::size_t n = 0; n < steps.size(); ++n) {
+        auto &group = work.groups.get<GroupState>(state.groups[n]);
+        const bool isFree = std::ranges::all_of(
+            steps[n].after, [&](std::uint32_t earlier) { return isDone(work, state.groups[earlier]); });
+        if (!group.open && isFree) {
+            group.open = true;
+            group.openedAt = time.now;
+            listGroup(work, state.groups[n]);
+        }
+    }
+}
+
+void completeIfDone(Entry &entry, OccurrenceRef occurrence)
+{
+    auto &work = entry.work;
+    auto &state = work.occurrences.get<OccurrenceWork>(occurrence);
+    if (state.closed || !std::ranges::all_of(state.groups, [&](GroupRef it) { return isDone(work, it); })) {
+        return;
+    }
+    state.closed = true;
+    state.outcome = OccurrenceOutcome::Completed;
+    const auto &identity = work.occurrences.get<OccurrenceIdentity>(occurrence);
+    const auto job = entry.jobs.table.get<JobIdentity>(identity.job).id;
+    note(entry, EventKind::JobCompleted, job, "occurrence={}", identity.number);
+}
+
+} // namespace flamingotally::dispatch
--- /dev/null
+++ b/src/dispatch/work_step.h
@@ -0,0 +1,27 @@
+/** @file work_step.h Small steps over the owner's tables that the sources of work.cpp and work_end.cpp share. */
+#pragma once
+
+#include "dispatch/entry_base.h"
+
+namespace flamingotally::dispatch
+{
+
+/** Marks that the progress of an occurrence has to be written. */
+void markDirty(Work &work, OccurrenceRef occurrence);
+
+/** Puts a group on the list of those that wait, when it is open. */
+void listGroup(Work &work, GroupRef group);
+
+/** Occurrence that a task belongs to. */
+OccurrenceRef occurrenceOf(const Work &work, TaskRef task);
+
+/** Tells whether all tasks of a group have ended well. */
+bool isDone(const Work &work, GroupRef group);
+
+/** Opens the groups of an occurrence whose earlier steps are done. */
+void openGroups(Entry &entry, OccurrenceRef occurrence, const TickTime &time);
+
+/** Ends an occurrence when all its groups are done. */
+void completeIfDone(Entry &entry, OccurrenceRef occurrence);
+
+} // namespace flamingotally::dispatch
