Move tasks that stand still

Change: a run that stands alone and has not moved for 1.5 s, or a quarter of its estimate, is stopped and placed elsewhere; its worker is left alone for 3 s. Test: movesATaskThatStandsStill, and one for the order by prospect.

--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -19,6 +19,9 @@
 constexpr Milliseconds healthPause{2'000}; ///< A worker that calls itself unhealthy is left alone.
 constexpr Milliseconds failingPause{6'000}; ///< A worker on which everything fails is left alone.
 constexpr Milliseconds fullPause{300};
+constexpr Milliseconds stallLimit{1'500}; ///< A run that has not moved for so long stands still...
+constexpr int stallPart = 4; ///< ... or for such a part of its estimate, whichever is longer.
+constexpr Milliseconds stalledPause{3'000}; ///< A worker on which a run stands still is left alone.
 constexpr std::uint32_t failuresInRow = 3; ///< Runs that fail in a row on a worker before it counts as failing.
 constexpr std::uint32_t maxSends = 6; ///< Starts sent without an answer before the run is given up.
 constexpr std::uint32_t silentHolds = 2; ///< Holds without an answer before a worker counts as silent.
@@ -87,7 +90,52 @@
     entry.outbox.stops.push_back({{}, worker, row.task, row.run, identity.id, identity.address, entry.ownership.token});
 }
 
-void applyRunning(Entry &entry, const HoldAnswer &answer, absl::flat_hash_set<std::uint32_t> &seen)
+/** Notes how far a run is. */
+void noteProgress(RunState &state, const RunningRow &row, MonotonicTime at)
+{
+    if (state.percent != row.percent) {
+        state.percent = row.percent;
+        state.movedAt = at;
+    }
+}
+
+/** Tells whether a run that should move on its own has stood still for long. */
+bool isStalled(const Entry &entry, RunRef run, MonotonicTime at)
+{
+    const auto &state = entry.work.runs.get<RunState>(run);
+    const auto task = entry.work.runs.get<RunIdentity>(run).task;
+    const auto &step = stepOf(entry, entry.work.tasks.get<TaskIdentity>(task).group);
+    const bool movesAlone = !step.gang && !step.fills && !step.endless;
+    const auto patience = std::max(stallLimit, step.runEstimate / stallPart);
+    return movesAlone && state.phase == RunPhase::Running && at - state.movedAt > patience;
+}
+
+/** Stops a run that stands still, so that its task can run on another worker. */
+void stopStalled(Entry &entry, RunRef run, const TickTime &time)
+{
+    const auto identity = entry.work.runs.get<RunIdentity>(run);
+    const auto name = nameOf(entry, identity.task);
+    note(entry,
+         EventKind::RunStalled,
+         name.job,
+         "task={}.{}.{} run={} worker={} percent={} still_ms={}",
+         name.occurrence,
+         name.step,
+         name.index,
+         identity.number,
+         entry.workers.table.get<WorkerIdentity>(identity.worker).id,
+         entry.work.runs.get<RunState>(run).percent,
+         (time.now - entry.work.runs.get<RunState>(run).movedAt).count());
+    entry.work.tasks.get<TaskState>(identity.task).avoid = identity.worker;
+    auto &health = entry.workers.table.get<WorkerHealth>(identity.worker);
+    health.avoidUntil = std::max(health.avoidUntil, time.now + stalledPause);
+    stopRun(entry, run, time);
+}
+
+void applyRunning(Entry &entry,
+                  const HoldAnswer &answer,
+                  absl::flat_hash_set<std::uint32_t> &seen,
+                  const TickTime &time)
 {
     for (const auto &row : answer.running) {
         const auto run = findRun(entry, answer.worker, row.task, row.run);
@@ -100,14 +148,15 @@
         if (state.phase == RunPhase::Ordered || state.phase == RunPhase::Unverified) {
             state.phase = RunPhase::Running;
             state.settledAt = answer.receivedAt;
-        }
-        if (state.percent != row.percent) {
-            state.percent = row.percent;
             state.movedAt = answer.receivedAt;
         }
+        noteProgress(state, row, answer.receivedAt);
         if (!row.checkpoint.empty()) {
             entry.work.tasks.get<TaskState>(entry.work.runs.get<RunIdentity>(run).task).checkpoint = row.checkpoint;
         }
+        if (isStalled(entry, run, answer.receivedAt)) {
+            stopStalled(entry, run, time);
+        }
     }
 }
 
@@ -223,7 +272,7 @@
     judgeLease(link);
     link.holdAt = time.now;
     absl::flat_hash_set<std::uint32_t> seen;
-    applyRunning(entry, answer, seen);
+    applyRunning(entry, answer, seen, time);
     applyEnds(entry, answer, time);
     applyMissing(entry, answer, seen, time);
 }
@@ -278,6 +327,7 @@
         if (isOpen) {
             state.phase = RunPhase::Running;
             state.settledAt = answer.receivedAt;
+            state.movedAt = answer.receivedAt;
             ++entry.counters.starts;
             entry.counters.observe(LatencyKind::Start, answer.receivedAt - answer.sentAt);
         }
--- a/standin/worker_model.cpp
+++ b/standin/worker_model.cpp
@@ -36,13 +36,20 @@
     m_running.erase(it);
 }
 
+std::uint32_t WorkerModel::percentOf(const Running &run, Milliseconds now)
+{
+    constexpr std::int64_t whole = 100;
+    const auto work = std::max<std::int64_t>(run.script.work.count(), 1);
+    return run.script.standsStill ? 0 : static_cast<std::uint32_t>((now - run.begunAt).count() * whole / work);
+}
+
 void WorkerModel::advance(Milliseconds now)
 {
     for (auto it = m_running.begin(); it != m_running.end();) {
         const auto current = it++;
         const auto lapsesAt = m_leaseUntil.time_since_epoch() + m_bornAt;
         if (current->second.endsAt <= std::min(now, lapsesAt)) {
-            end(current, current->second.end);
+            end(current, current->second.script.end);
         } else if (lapsesAt <= now) {
             end(current, RunEnd::Lapsed);
         }
@@ -75,7 +82,7 @@
     std::erase_if(m_ended, [&](const EndRow &it) { return it.number <= order.acknowledged; });
     answer.result = OrderResult::Accepted;
     for (const auto &[task, run] : m_running) {
-        answer.running.push_back({task, run.run, {}, 0});
+        answer.running.push_back({task, run.run, {}, percentOf(run, now)});
     }
     answer.ended = m_ended;
     return answer;
@@ -100,7 +107,8 @@
     }
     m_leaseUntil = std::max(m_leaseUntil, order.leaseUntil);
     const auto script = m_hooks.script(order.task, order.number);
-    m_running[order.task] = {order.number, now + script.work, now, script.end};
+    const auto endsAt = script.standsStill ? Milliseconds::max() : now + script.work;
+    m_running[order.task] = {order.number, endsAt, now, script};
     m_hooks.begun({order.task, order.number, m_id, now});
     return OrderResult::Accepted;
 }
--- a/standin/worker_model.h
+++ b/standin/worker_model.h
@@ -14,6 +14,7 @@
 struct RunScript {
     Milliseconds work{100};
     dispatch::RunEnd end = dispatch::RunEnd::Done;
+    bool standsStill = false; ///< It makes no progress and does not end.
 };
 
 /** A run that began, for checks. */
@@ -75,9 +76,10 @@
         dispatch::RunNumber run = 0;
         Milliseconds endsAt{0};
         Milliseconds begunAt{0};
-        dispatch::RunEnd end = dispatch::RunEnd::Done;
+        RunScript script;
     };
 
+    static std::uint32_t percentOf(const Running &run, Milliseconds now);
     void end(std::map<dispatch::TaskName, Running>::iterator it, dispatch::RunEnd how);
     WorkerTime clock(Milliseconds now) const;
     bool takeToken(dispatch::Token token);
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -1,4 +1,5 @@
 /** @file dispatch_test.cpp Entry daemons that dispatch through the store, from what callers and workers see. */
+#include "dispatch/policy/group_order.h"
 #include "fakes/dispatch_world.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -55,6 +56,8 @@
     CPPUNIT_TEST(knowsAllAfterEverythingWasRestartedAndTheHistoryIsGone);
     CPPUNIT_TEST(endsRunsOfAWorkerThatWasBornAgain);
     CPPUNIT_TEST(aFrozenOwnerDoesNoHarm);
+    CPPUNIT_TEST(movesATaskThatStandsStill);
+    CPPUNIT_TEST(servesWhatCanStillBeInTimeFirst);
     CPPUNIT_TEST(waitsNoLongerThanALeaseOnceTheFormerOwnerHasResigned);
     CPPUNIT_TEST_SUITE_END();
 
@@ -468,6 +471,32 @@
         assertKept(world);
     }
 
+    void movesATaskThatStandsStill()
+    {
+        DispatchWorld world(2, 3);
+        world.run(settling);
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{100}, RunEnd::Done, true}, {Milliseconds{100}, RunEnd::Done}};
+        world.scripts[{2, 0, 0, 0}] = {{Milliseconds{6'000}, RunEnd::Done}};
+        world.submit(0, 1, jobOf({plainStep(1)}));
+        world.submit(0, 2, jobOf({plainStep(1)}));
+        world.run(Milliseconds{7'000});
+        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.startsOf({1, 0, 0, 0}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({2, 0, 0, 0}));
+        assertKept(world);
+    }
+
+    void servesWhatCanStillBeInTimeFirst()
+    {
+        const GroupView lost{0, 0, {}, Prospect::Lost, false};
+        const GroupView late{0, 0, {}, Prospect::Late, false};
+        const GroupView inTime{0, 5, MonotonicTime{Milliseconds{9}}, Prospect::InTime, false};
+        const GroupView lessUrgent{1, 0, {}, Prospect::InTime, false};
+        CPPUNIT_ASSERT(FairOrder::key(inTime) < FairOrder::key(late));
+        CPPUNIT_ASSERT(FairOrder::key(late) < FairOrder::key(lessUrgent));
+        CPPUNIT_ASSERT(FairOrder::key(lessUrgent) < FairOrder::key(lost));
+    }
+
 private:
     /** Wall time of the world's daemons. */
     static Milliseconds wallAt(DispatchWorld &world)
