Renew tickets of placed runs that expire before their placement is stored

Change: the placement stays and the ticket of that worker is asked for anew. The test passes on both ways of the world's store and guards the new one.

--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -169,6 +169,7 @@
     absl::flat_hash_map<std::uint64_t, Question> questions;
     std::map<std::string, Relay> relays; ///< By the daemon's name.
     std::vector<GroupRef> wanted; ///< Groups that need advice, most urgent first.
+    std::vector<GroupRef> renewals; ///< Groups with placed runs whose tickets have expired; they go first.
 };
 
 /** Wall time by the monotonic clock, so that steps of the wall clock do not reach due times at once. */
--- a/src/dispatch/systems/advice.cpp
+++ b/src/dispatch/systems/advice.cpp
@@ -82,6 +82,7 @@
     std::ranges::sort(fresh);
     std::ranges::sort(expired);
     QuestionWorkers workers;
+    workers.renewing = entry.work.groups.get<GroupAdvice>(group).expired;
     const auto tasks = entry.work.groups.get<GroupState>(group).tasks.size();
     for (std::size_t n = 0; n < expired.size() && n < tasks + spareWorkers; ++n) {
         workers.renewing.push_back(std::move(expired[n].second));
@@ -118,6 +119,7 @@
     auto &advice = entry.work.groups.get<GroupAdvice>(group);
     advice.question = question.number;
     advice.renewing = std::move(workers.renewing);
+    advice.expired.clear();
     ++advice.questions;
     ++relay->second.asking;
     relay->second.busyMs += costMs;
@@ -175,6 +177,15 @@
 
 void adviceQuestionSystem(Entry &entry, const TickTime &time)
 {
+    std::erase_if(entry.advice.renewals, [&](GroupRef group) {
+        if (!entry.work.groups.contains(group)) {
+            return true;
+        }
+        if (entry.work.groups.get<GroupAdvice>(group).question == 0) {
+            ask(entry, group, time);
+        }
+        return entry.work.groups.get<GroupAdvice>(group).expired.empty();
+    });
     for (const auto group : entry.advice.wanted) {
         if (entry.work.groups.get<GroupAdvice>(group).question != 0) {
             continue;
--- a/src/dispatch/systems/order.cpp
+++ b/src/dispatch/systems/order.cpp
@@ -14,6 +14,7 @@
 constexpr Milliseconds leaseMargin{200};
 constexpr Milliseconds idleHold{1'500}; ///< Pause between two looks at a worker that runs nothing.
 constexpr Milliseconds unstoredHold{300}; ///< Pause while ends wait to be stored: the worker would answer at once.
+constexpr Milliseconds ticketPause{20}; ///< Between two looks for a ticket that is being renewed.
 constexpr Milliseconds leaveMargin{
     1'000}; ///< Runs that save their progress are stopped so long before the worker goes.
 
@@ -46,6 +47,26 @@
     return it != tickets.end() && it->second.validUntil > time.now ? &it->second : nullptr;
 }
 
+/**
+ * Has the ticket of a placed run renewed.
+ * @return False when the worker may not run it.
+ */
+bool renewTicket(Entry &entry, GroupRef group, const std::string &worker)
+{
+    auto &advice = entry.work.groups.get<GroupAdvice>(group);
+    const auto it = advice.byWorker.find(worker);
+    if (it == advice.byWorker.end() || !it->second.good) {
+        return false;
+    }
+    if (std::ranges::find(advice.expired, worker) == advice.expired.end()) {
+        advice.expired.push_back(worker);
+    }
+    if (std::ranges::find(entry.advice.renewals, group) == entry.advice.renewals.end()) {
+        entry.advice.renewals.push_back(group);
+    }
+    return true;
+}
+
 void sendStart(Entry &entry, RunRef run, const TickTime &time)
 {
     const auto identity = entry.work.runs.get<RunIdentity>(run);
@@ -56,7 +77,10 @@
     const auto *ticket = ticketFor(entry, group, worker.id, time);
     const bool isTooLate = treatmentOf(entry, group).advice.required && !ticket;
     if (isTooLate && state.sends == 0) {
-        forgetRun(entry, run, time);
+        state.sendAt = time.now + ticketPause;
+        if (!renewTicket(entry, group, worker.id)) {
+            forgetRun(entry, run, time);
+        }
         return;
     }
     state.inFlight = true;
--- a/src/dispatch/work_base.h
+++ b/src/dispatch/work_base.h
@@ -63,6 +63,7 @@
     std::uint64_t question = 0; ///< Question under way; zero for none.
     std::uint32_t questions = 0; ///< Questions asked so far.
     MonotonicTime answeredAt{}; ///< When the last answer came; zero before.
+    std::vector<std::string> expired; ///< Workers with a placed run whose ticket has expired before its start was sent.
     std::vector<std::string> renewing; ///< Workers known to be good that the question under way is about.
 };
 
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(endsRunsOfAWorkerThatWasBornAgain);
     CPPUNIT_TEST(aFrozenOwnerDoesNoHarm);
     CPPUNIT_TEST(movesATaskThatStandsStill);
+    CPPUNIT_TEST(renewsTicketsThatExpireBeforeTheirPlacementIsStored);
     CPPUNIT_TEST(servesWhatCanStillBeInTimeFirst);
     CPPUNIT_TEST(waitsNoLongerThanALeaseOnceTheFormerOwnerHasResigned);
     CPPUNIT_TEST_SUITE_END();
@@ -486,6 +487,22 @@
         assertKept(world);
     }
 
+    /** Under a slow store each placement was stored after its ticket had expired, and was placed anew. */
+    void renewsTicketsThatExpireBeforeTheirPlacementIsStored()
+    {
+        DispatchWorld world(1, 2);
+        auto configuration = plainConfiguration();
+        configuration.queues[0].treatment.advice = {true, 10, 1, Milliseconds{300}};
+        world.publish(configuration);
+        world.run(settling);
+        world.submit(0, 1, jobOf({plainStep(4)}));
+        world.run(Milliseconds{20});
+        world.storeDelay = Milliseconds{400};
+        world.run(Milliseconds{3'500});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 3}));
+        assertKept(world);
+    }
+
     void servesWhatCanStillBeInTimeFirst()
     {
         const GroupView lost{0, 0, {}, Prospect::Lost, false};
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -112,7 +112,9 @@
             answerWith(JournalOutcome::Unknown, 0, batch.timeout);
             return;
         }
-        answerWith(stored.stored ? JournalOutcome::Stored : JournalOutcome::Fenced, stored.offset, 2 * oneWay);
+        answerWith(stored.stored ? JournalOutcome::Stored : JournalOutcome::Fenced,
+                   stored.offset,
+                   2 * oneWay + m_world.storeDelay);
     }
 
     void watch(bool on)
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -106,6 +106,7 @@
     dispatch::Configuration configuration;
     std::vector<std::string> domainsOut;
     std::set<std::string> notAdvised; ///< Workers that the policy service refuses.
+    Milliseconds storeDelay{0}; ///< Added to the answers of all appends.
     Milliseconds wallStep{0}; ///< Added to the wall clock of all daemons.
 
     /** Breaches of the promises, as they were seen. */
