--- a/src/dispatch/systems/order.cpp
+++ b/src/dispatch/systems/order.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/entry_func.h"
+#include "dispatch/lease_func.h"
 #include "dispatch/systems/systems.h"
 #include "dispatch/work_func.h"
 
@@ -10,8 +11,6 @@
 namespace
 {
 
-constexpr int clockPercent = 103; ///< A lease may last so much longer by this daemon's clock.
-constexpr Milliseconds leaseMargin{200};
 constexpr Milliseconds idleHold{1'500}; ///< Pause between two looks at a worker that runs nothing.
 constexpr Milliseconds unstoredHold{300}; ///< Pause while ends wait to be stored: the worker would answer at once.
 constexpr Milliseconds ticketPause{20}; ///< Between two looks for a ticket that is being renewed.
@@ -34,8 +33,7 @@
         return link.leaseUntil;
     }
     link.leaseUntil = std::max(link.leaseUntil, clockOf(link, time) + entry.settings.lease);
-    const auto left = Milliseconds(link.leaseUntil - link.clock);
-    link.leaseOverAt = link.clockReadAt + left * clockPercent / 100 + leaseMargin;
+    judgeLease(link);
     return link.leaseUntil;
 }
 
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/entry_func.h"
+#include "dispatch/lease_func.h"
 #include "dispatch/systems/systems.h"
 #include "dispatch/table/dispatch_table.h"
 #include "dispatch/work_func.h"
@@ -26,17 +27,6 @@
 constexpr std::uint32_t maxSends = 6; ///< Starts sent without an answer before the run is given up.
 constexpr std::uint32_t silentHolds = 2; ///< Holds without an answer before a worker counts as silent.
 constexpr RunNumber numberSkip = 16; ///< Skipped when a worker has seen higher numbers of a task.
-constexpr int clockPercent = 103; ///< A lease may last so much longer by this daemon's clock.
-constexpr Milliseconds leaseMargin{200};
-
-/** Latest time by which a lease is over, when nothing renews it. */
-void judgeLease(WorkerLink &link)
-{
-    if (link.clockReadAt != MonotonicTime{}) {
-        const auto left = std::max(Milliseconds{0}, Milliseconds(link.leaseUntil - link.clock));
-        link.leaseOverAt = link.clockReadAt + left * clockPercent / 100 + leaseMargin;
-    }
-}
 
 void noteOutcome(Entry &entry, WorkerRef worker, RunEnd how, const TickTime &time)
 {
