--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -363,7 +363,7 @@
 void DispatchWorld::deliver(std::size_t daemon,
                             std::uint64_t life,
                             Milliseconds delay,
-                            std::function<void(Inbox &)> put)
+                            const std::function<void(Inbox &)> &put)
 {
     const auto at = std::max(m_queue.now() + delay, m_daemons[daemon]->frozenUntil);
     m_queue.at(at, [this, daemon, life, put] {
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -133,8 +133,10 @@
     void begin(std::size_t daemon);
     void tick(std::size_t daemon);
     void wake(std::size_t daemon);
-    void
-    deliver(std::size_t daemon, std::uint64_t life, Milliseconds delay, std::function<void(dispatch::Inbox &)> put);
+    void deliver(std::size_t daemon,
+                 std::uint64_t life,
+                 Milliseconds delay,
+                 const std::function<void(dispatch::Inbox &)> &put);
     void readConfig(std::size_t daemon, std::uint64_t life);
     void advanceWorkers();
     void noteBegun(const standin::BegunRun &run);
