--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -221,9 +221,9 @@
         return m_world.storeModes[m_daemon];
     }
 
-    void put(Milliseconds delay, std::function<void(Inbox &)> function)
+    void put(Milliseconds delay, const std::function<void(Inbox &)> &function)
     {
-        m_world.deliver(m_daemon, m_life, delay, std::move(function));
+        m_world.deliver(m_daemon, m_life, delay, function);
     }
 
     void answerHold(const HoldOrder &order, MonotonicTime sentAt, Milliseconds delay)
