--- a/src/dispatch/systems/admission.cpp
+++ b/src/dispatch/systems/admission.cpp
@@ -223,12 +223,12 @@
 /** How long a call may wait: not long while the store takes nothing, so that its caller can try elsewhere in time. */
 Milliseconds patienceFor(const Entry &entry, const Call &call)
 {
-    constexpr int partOfTime = 4; ///< A call is given up in such a part of the time that its caller has.
+    constexpr int partWhenClosed = 25; ///< Percent of the time that the caller has.
+    constexpr int partWhenOpen = 45;
     const auto &settings = entry.settings;
-    if (!isStoreClosed(entry)) {
-        return settings.answerPatience;
-    }
-    return std::min(settings.admissionPatience, Milliseconds(call.call.answerBy - call.call.receivedAt) / partOfTime);
+    const auto time = Milliseconds(call.call.answerBy - call.call.receivedAt);
+    return isStoreClosed(entry) ? std::min(settings.admissionPatience, time * partWhenClosed / 100)
+                                : std::min(settings.answerPatience, time * partWhenOpen / 100);
 }
 
 MonotonicTime giveUpAt(const Entry &entry, const Call &call)
