--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -1,4 +1,4 @@
-/** @file clock.h What reads time: the machine's clocks in the daemons, a virtual one in tests. */
+/** @file clock.h What reads time: the machine's clocks in the daemons, a simulated one in tests. */
 #pragma once
 
 #include "core/time_type.h"
--- a/src/dispatch/message_type.h
+++ b/src/dispatch/message_type.h
@@ -211,7 +211,7 @@
     UnknownKey,
     UnknownJob,
     Malformed, ///< The request can never be accepted as it is.
-    NotRun, ///< It was not and will not be executed; to be tried again later.
+    NotRun, ///< It was not and will not be executed; its caller may send it again later.
     Undecided, ///< It may have been executed.
     End,
 };
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -13,22 +13,6 @@
 
 constexpr Milliseconds settling{2'000}; ///< For the first owner and the first looks at workers.
 
-JobSpec jobOf(std::vector<StepSpec> steps)
-{
-    JobSpec spec;
-    spec.payload = "payload";
-    spec.steps = std::move(steps);
-    return spec;
-}
-
-/** A world that keeps its promises. */
-void assertKept(const DispatchWorld &world)
-{
-    for (const auto &it : world.breaches) {
-        CPPUNIT_FAIL(it);
-    }
-}
-
 } // namespace
 
 class DispatchTest : public CppUnit::TestFixture
@@ -36,13 +20,6 @@
     CPPUNIT_TEST_SUITE(DispatchTest);
     CPPUNIT_TEST(runsStepsInOrder);
     CPPUNIT_TEST(runsOnceWhenHandedInTwice);
-    CPPUNIT_TEST(adoptsWhatAKilledOwnerPlaced);
-    CPPUNIT_TEST(keepsTheEndOfAJobWhoseRunsAreAdopted);
-    CPPUNIT_TEST(resendsWhatWasNotAnswered);
-    CPPUNIT_TEST(tellsTheTruthWhenTheStoreIsDown);
-    CPPUNIT_TEST(movesOwnershipAwayFromADaemonThatTheStoreRefuses);
-    CPPUNIT_TEST(waitsForTheLeaseOfASilentWorker);
-    CPPUNIT_TEST(survivesStartsThatAreCarriedOutLate);
     CPPUNIT_TEST(failsAJobAfterItsLastAttempt);
     CPPUNIT_TEST(stopsACancelledJob);
     CPPUNIT_TEST(startsEndlessTasksAgain);
@@ -53,13 +30,7 @@
     CPPUNIT_TEST(judgesNothingByAnOldConfiguration);
     CPPUNIT_TEST(startsNothingOnDrainingWorkersOrInDomainsThatAreOut);
     CPPUNIT_TEST(startsOnlyWhereThePolicyServiceAllows);
-    CPPUNIT_TEST(knowsAllAfterEverythingWasRestartedAndTheHistoryIsGone);
-    CPPUNIT_TEST(endsRunsOfAWorkerThatWasBornAgain);
-    CPPUNIT_TEST(aFrozenOwnerDoesNoHarm);
-    CPPUNIT_TEST(movesATaskThatStandsStill);
-    CPPUNIT_TEST(renewsTicketsThatExpireBeforeTheirPlacementIsStored);
     CPPUNIT_TEST(servesWhatCanStillBeInTimeFirst);
-    CPPUNIT_TEST(waitsNoLongerThanALeaseOnceTheFormerOwnerHasResigned);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -94,132 +65,6 @@
         assertKept(world);
     }
 
-    void adoptsWhatAKilledOwnerPlaced()
-    {
-        DispatchWorld world(3, 2);
-        world.run(settling);
-        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{4'000}, RunEnd::Done}};
-        world.submit(0, 1, jobOf({plainStep(1), plainStep(1, {0})}));
-        world.run(Milliseconds{500});
-        const auto former = world.owner().value();
-        world.kill(former);
-        world.run(Milliseconds{6'000});
-        CPPUNIT_ASSERT(world.owner().has_value());
-        CPPUNIT_ASSERT(world.phaseAt((former + 1) % 3, 1) == JobPhase::Completed);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
-        assertKept(world);
-    }
-
-    /** A new owner wrote "not ended" over a failed job whose other runs were still being stopped. */
-    void keepsTheEndOfAJobWhoseRunsAreAdopted()
-    {
-        DispatchWorld world(2, 3);
-        world.run(settling);
-        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{50}, RunEnd::Failed}, {Milliseconds{1'500}, RunEnd::Failed}};
-        world.scripts[{1, 0, 1, 0}] = {{Milliseconds{60'000}, RunEnd::Done}};
-        world.submit(0, 1, jobOf({plainStep(1), plainStep(1)}));
-        world.run(Milliseconds{500});
-        world.linkModes[world.whereIs({1, 0, 1, 0}).value()] = LinkMode::Cut;
-        world.run(Milliseconds{2'500});
-        const auto former = world.owner().value();
-        world.kill(former);
-        world.run(Milliseconds{3'000});
-        world.kill(1 - former);
-        world.startAgain(former);
-        world.run(Milliseconds{3'000});
-        CPPUNIT_ASSERT(world.phaseAt(former, 1) == JobPhase::Failed);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.startsOf({1, 0, 0, 0}));
-        assertKept(world);
-    }
-
-    void resendsWhatWasNotAnswered()
-    {
-        DispatchWorld world(2, 2);
-        world.run(settling);
-        for (std::size_t n = 0; n < 2; ++n) {
-            world.storeModes[n] = StoreMode::LosesAnswers;
-        }
-        const auto handle = world.submit(0, 1, jobOf({plainStep(2)}));
-        world.run(Milliseconds{300});
-        for (std::size_t n = 0; n < 2; ++n) {
-            world.storeModes[n] = StoreMode::Up;
-        }
-        world.run(Milliseconds{3'000});
-        CPPUNIT_ASSERT(world.answerOf(handle)->result == CallResult::Done);
-        CPPUNIT_ASSERT(world.phaseAt(1, 1) == JobPhase::Completed);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
-        assertKept(world);
-    }
-
-    void tellsTheTruthWhenTheStoreIsDown()
-    {
-        DispatchWorld world(2, 2);
-        world.run(settling);
-        for (std::size_t n = 0; n < 2; ++n) {
-            world.storeModes[n] = StoreMode::Down;
-        }
-        const auto refused = world.submit(0, 1, jobOf({plainStep(1)}));
-        world.storeModes[1] = StoreMode::Silent;
-        const auto undecided = world.submit(1, 2, jobOf({plainStep(1)}));
-        world.run(Milliseconds{4'000});
-        CPPUNIT_ASSERT(world.answerOf(refused)->result == CallResult::NotRun);
-        CPPUNIT_ASSERT(world.answerOf(refused)->retryAfter > Milliseconds{0});
-        CPPUNIT_ASSERT(world.answerOf(undecided)->result == CallResult::Undecided);
-        for (std::size_t n = 0; n < 2; ++n) {
-            world.storeModes[n] = StoreMode::Up;
-        }
-        world.run(Milliseconds{5'000});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.startsOf({1, 0, 0, 0}));
-        assertKept(world);
-    }
-
-    void movesOwnershipAwayFromADaemonThatTheStoreRefuses()
-    {
-        DispatchWorld world(3, 2);
-        world.run(settling);
-        const auto former = world.owner().value();
-        world.storeModes[former] = StoreMode::Down;
-        world.run(Milliseconds{3'500});
-        const auto handle = world.submit((former + 1) % 3, 1, jobOf({plainStep(1)}));
-        world.run(Milliseconds{1'500});
-        CPPUNIT_ASSERT(world.answerOf(handle)->result == CallResult::Done);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
-        CPPUNIT_ASSERT(!world.entry(former).isOwner());
-        assertKept(world);
-    }
-
-    void waitsForTheLeaseOfASilentWorker()
-    {
-        DispatchWorld world(2, 2);
-        world.run(settling);
-        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{60'000}, RunEnd::Done}, {Milliseconds{100}, RunEnd::Done}};
-        world.submit(0, 1, jobOf({plainStep(1)}));
-        world.run(Milliseconds{500});
-        const std::size_t where = world.worker(0).runningCount() > 0 ? 0 : 1;
-        world.linkModes[where] = LinkMode::Cut;
-        world.run(Milliseconds{4'000});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
-        world.run(Milliseconds{5'000});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.startsOf({1, 0, 0, 0}));
-        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Completed);
-        assertKept(world);
-    }
-
-    void survivesStartsThatAreCarriedOutLate()
-    {
-        DispatchWorld world(2, 2);
-        world.run(settling);
-        world.linkModes[0] = LinkMode::Late;
-        world.linkModes[1] = LinkMode::Late;
-        world.submit(0, 1, jobOf({plainStep(4)}));
-        world.run(Milliseconds{1'500});
-        world.linkModes[0] = LinkMode::Up;
-        world.linkModes[1] = LinkMode::Up;
-        world.run(Milliseconds{8'000});
-        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Completed);
-        assertKept(world);
-    }
-
     void failsAJobAfterItsLastAttempt()
     {
         DispatchWorld world(2, 2);
@@ -400,109 +245,6 @@
         assertKept(world);
     }
 
-    void knowsAllAfterEverythingWasRestartedAndTheHistoryIsGone()
-    {
-        DispatchWorld world(3, 2);
-        world.run(settling);
-        world.scripts[{2, 0, 0, 0}] = {{Milliseconds{3'000}, RunEnd::Done}};
-        world.submit(0, 1, jobOf({plainStep(1)}));
-        world.submit(1, 2, jobOf({plainStep(1)}));
-        world.run(Milliseconds{800});
-        for (std::size_t n = 0; n < 3; ++n) {
-            world.kill(n);
-        }
-        world.topic.compact();
-        world.run(Milliseconds{1'000});
-        for (std::size_t n = 0; n < 3; ++n) {
-            world.startAgain(n);
-        }
-        world.run(Milliseconds{4'000});
-        CPPUNIT_ASSERT(world.phaseAt(1, 1) == JobPhase::Completed);
-        CPPUNIT_ASSERT(world.phaseAt(2, 2) == JobPhase::Completed);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({2, 0, 0, 0}));
-        assertKept(world);
-    }
-
-    void endsRunsOfAWorkerThatWasBornAgain()
-    {
-        DispatchWorld world(2, 1);
-        world.run(settling);
-        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{60'000}, RunEnd::Done}, {Milliseconds{100}, RunEnd::Done}};
-        world.submit(0, 1, jobOf({plainStep(1)}));
-        world.run(Milliseconds{500});
-        world.worker(0).restart(world.now());
-        world.run(Milliseconds{2'500});
-        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Completed);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.startsOf({1, 0, 0, 0}));
-        assertKept(world);
-    }
-
-    void aFrozenOwnerDoesNoHarm()
-    {
-        DispatchWorld world(3, 2);
-        world.run(settling);
-        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{1'000}, RunEnd::Done}};
-        world.submit(0, 1, jobOf({plainStep(1), plainStep(4, {0})}));
-        world.run(Milliseconds{300});
-        const auto former = world.owner().value();
-        world.freeze(former, Milliseconds{4'000});
-        world.run(Milliseconds{8'000});
-        CPPUNIT_ASSERT(!world.entry(former).isOwner());
-        CPPUNIT_ASSERT(world.phaseAt(former, 1) == JobPhase::Completed);
-        assertKept(world);
-    }
-
-    /** A lasting task on a worker that had left was placed again only 14 s after a change of owner. */
-    void waitsNoLongerThanALeaseOnceTheFormerOwnerHasResigned()
-    {
-        DispatchWorld world(3, 3);
-        world.run(settling + Milliseconds{4'000});
-        auto step = plainStep(1);
-        step.endless = true;
-        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{90'000}, RunEnd::Done}};
-        world.submit(0, 1, jobOf({step}));
-        world.run(Milliseconds{500});
-        world.linkModes[world.whereIs({1, 0, 0, 0}).value()] = LinkMode::Cut;
-        const auto former = world.owner().value();
-        world.storeModes[former] = StoreMode::Silent;
-        world.run(Milliseconds{3'000});
-        world.storeModes[former] = StoreMode::Up;
-        world.run(Milliseconds{6'500});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.startsOf({1, 0, 0, 0}));
-        assertKept(world);
-    }
-
-    void movesATaskThatStandsStill()
-    {
-        DispatchWorld world(2, 3);
-        world.run(settling);
-        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{100}, RunEnd::Done, true}, {Milliseconds{100}, RunEnd::Done}};
-        world.scripts[{2, 0, 0, 0}] = {{Milliseconds{6'000}, RunEnd::Done}};
-        world.submit(0, 1, jobOf({plainStep(1)}));
-        world.submit(0, 2, jobOf({plainStep(1)}));
-        world.run(Milliseconds{7'000});
-        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Completed);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.startsOf({1, 0, 0, 0}));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({2, 0, 0, 0}));
-        assertKept(world);
-    }
-
-    /** Under a slow store each placement was stored after its ticket had expired, and was placed anew. */
-    void renewsTicketsThatExpireBeforeTheirPlacementIsStored()
-    {
-        DispatchWorld world(1, 2);
-        auto configuration = plainConfiguration();
-        configuration.queues[0].treatment.advice = {true, 10, 1, Milliseconds{300}};
-        world.publish(configuration);
-        world.run(settling);
-        world.submit(0, 1, jobOf({plainStep(4)}));
-        world.run(Milliseconds{20});
-        world.storeDelay = Milliseconds{400};
-        world.run(Milliseconds{3'500});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 3}));
-        assertKept(world);
-    }
-
     void servesWhatCanStillBeInTimeFirst()
     {
         const GroupView lost{0, 0, {}, Prospect::Lost, false};
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -1,6 +1,6 @@
 #include "fakes/dispatch_world.h"
 
-#include "dispatch/codec/journal_codec.h"
+#include "fakes/dispatch_ports.h"
 #include "key_digest.h"
 
 #include <cppunit/TestAssert.h>
@@ -13,251 +13,18 @@
 
 using namespace dispatch;
 using standin::BegunRun;
-using standin::ModelRecord;
 using standin::WorkerModel;
 
 namespace
 {
 
-constexpr Milliseconds oneWay{2};
-constexpr Milliseconds lateBy{3'000};
 constexpr Milliseconds answerTimeout{3'000};
-constexpr Milliseconds wallStart{1'700'000'000'000};
 constexpr Milliseconds configInterval{300};
 constexpr Milliseconds restartIncarnation{1};
 constexpr const char *redKey = "red key";
 
 } // namespace
 
-/** The ports of one daemon. */
-class WorldPorts
-{
-public:
-    WorldPorts(DispatchWorld &world, std::size_t daemon)
-        : m_world(world), m_daemon(daemon), m_life(world.m_daemons[daemon]->life)
-    {
-    }
-
-    MonotonicTime now() const
-    {
-        return MonotonicTime{m_world.m_queue.now()};
-    }
-
-    WallTime wallNow() const
-    {
-        return WallTime{wallStart + m_world.m_queue.now() + m_world.wallStep};
-    }
-
-    void read(const JournalReadOrder &order)
-    {
-        const auto askedAt = now();
-        if (mode() == StoreMode::Silent) {
-            put(Milliseconds{700},
-                [askedAt](Inbox &inbox) { inbox.journalReads.push_back(failedRead(askedAt, false)); });
-            return;
-        }
-        if (mode() == StoreMode::Down) {
-            put(2 * oneWay, [askedAt](Inbox &inbox) { inbox.journalReads.push_back(failedRead(askedAt, false)); });
-            return;
-        }
-        const bool hasNews = order.whole || m_world.topic.end() > order.from;
-        m_world.m_queue.after(
-            hasNews ? oneWay : Milliseconds{20}, [world = &m_world, daemon = m_daemon, life = m_life, order, askedAt] {
-                const auto records = order.whole ? std::optional(world->topic.newest()) : world->topic.read(order.from);
-                world->deliver(daemon, life, oneWay, [=, end = world->topic.end()](Inbox &inbox) {
-                    if (!records) {
-                        inbox.journalReads.push_back(failedRead(askedAt, true));
-                        return;
-                    }
-                    JournalRead read;
-                    read.askedAt = askedAt;
-                    read.whole = order.whole;
-                    read.nextOffset = end;
-                    for (const auto &it : *records) {
-                        auto decoded = decodeJournalRecord(it.key, it.value);
-                        read.entries.push_back(
-                            {it.offset, decoded.ok() ? std::optional(*std::move(decoded)) : std::nullopt});
-                    }
-                    inbox.journalReads.push_back(std::move(read));
-                });
-            });
-    }
-
-    void append(const JournalBatch &batch)
-    {
-        const auto answerWith = [&](JournalOutcome outcome, std::uint64_t offset, Milliseconds delay) {
-            put(delay, [which = batch.writer, sequence = batch.sequence, outcome, offset](Inbox &inbox) {
-                inbox.journalAnswers.push_back({which, sequence, outcome, offset});
-            });
-        };
-        if (mode() == StoreMode::Down) {
-            answerWith(JournalOutcome::Refused, 0, 2 * oneWay);
-            return;
-        }
-        if (mode() == StoreMode::Silent) {
-            answerWith(JournalOutcome::Unknown, 0, batch.timeout);
-            return;
-        }
-        std::vector<ModelRecord> records;
-        for (const auto &it : batch.records) {
-            for (auto &row : encodeJournalRecord(it)) {
-                records.push_back({0, std::move(row.key), std::move(row.value)});
-            }
-        }
-        const auto producer = batch.writer == JournalWriter::Owner
-            ? std::string("owner")
-            : fmt::format("{}.{}", m_world.entry(m_daemon).settings.name, m_world.entry(m_daemon).incarnation);
-        const auto stored = m_world.topic.append({producer, batch.token, batch.sequence}, records);
-        if (mode() == StoreMode::LosesAnswers) {
-            answerWith(JournalOutcome::Unknown, 0, batch.timeout);
-            return;
-        }
-        answerWith(stored.stored ? JournalOutcome::Stored : JournalOutcome::Fenced,
-                   stored.offset,
-                   2 * oneWay + m_world.storeDelay);
-    }
-
-    void watch(bool on)
-    {
-        auto &daemon = *m_world.m_daemons[m_daemon];
-        if (std::exchange(daemon.watches, on) || !on) {
-            return;
-        }
-        WorkerListRead read;
-        read.whole = true;
-        for (const auto &it : m_world.m_workers) {
-            read.changes.push_back(it.listing);
-        }
-        put(2 * oneWay, [read](Inbox &inbox) { inbox.workerLists.push_back(read); });
-    }
-
-    void hold(const HoldOrder &order)
-    {
-        const auto n = m_world.indexOf(order.id);
-        const auto sentAt = now();
-        if (m_world.linkModes[n] == LinkMode::Cut) {
-            put(order.wait + Milliseconds{800}, [order, sentAt](Inbox &inbox) {
-                HoldAnswer lost;
-                lost.worker = order.worker;
-                lost.token = order.token;
-                lost.sentAt = sentAt;
-                inbox.holdAnswers.push_back(lost);
-            });
-            return;
-        }
-        auto &model = m_world.worker(n);
-        model.advance(m_world.m_queue.now());
-        const auto next = model.nextEnd();
-        const bool answersAtOnce = model.hasUnacknowledged() || order.wait == Milliseconds{0};
-        const auto until = m_world.m_queue.now() + order.wait;
-        const auto at = answersAtOnce ? m_world.m_queue.now() : std::min(until, next.value_or(until));
-        answerHold(order, sentAt, std::max(at - m_world.m_queue.now(), oneWay));
-    }
-
-    void start(const StartOrder &order)
-    {
-        const auto n = m_world.indexOf(order.id);
-        const auto linkMode = m_world.linkModes[n];
-        const auto carryOut = [world = &m_world, order, n] {
-            world->advanceWorkers();
-            return world->worker(n).start(order, world->m_queue.now());
-        };
-        if (linkMode != LinkMode::Up) {
-            if (linkMode == LinkMode::Late) {
-                m_world.m_queue.after(lateBy, [carryOut] { carryOut(); });
-            }
-            answerOrder(OrderKind::Start, order.run, order.token, OrderResult::NoAnswer, Milliseconds{700});
-            return;
-        }
-        answerOrder(OrderKind::Start, order.run, order.token, carryOut(), 2 * oneWay);
-    }
-
-    void stop(const StopOrder &order)
-    {
-        const auto n = m_world.indexOf(order.id);
-        if (m_world.linkModes[n] == LinkMode::Cut) {
-            answerOrder(OrderKind::Stop, order.run, order.token, OrderResult::NoAnswer, Milliseconds{700});
-            return;
-        }
-        const auto result = m_world.worker(n).stop(order, m_world.m_queue.now());
-        answerOrder(OrderKind::Stop, order.run, order.token, result, 2 * oneWay);
-    }
-
-    void ask(const AdviceQuestion &question)
-    {
-        AdviceAnswer answer;
-        answer.number = question.number;
-        answer.failed = false;
-        answer.askedAt = now();
-        for (const auto &it : question.workers) {
-            if (!m_world.notAdvised.contains(it)) {
-                answer.good.push_back({it, "ticket of " + it});
-            }
-        }
-        put(Milliseconds{20}, [answer](Inbox &inbox) { inbox.adviceAnswers.push_back(answer); });
-    }
-
-    void answer(const CallerAnswer &answer)
-    {
-        m_world.m_answers[answer.handle] = answer;
-    }
-
-    void write(const Event & /*event*/, std::uint64_t & /*dropped*/)
-    {
-    }
-
-private:
-    static JournalRead failedRead(MonotonicTime askedAt, bool expired)
-    {
-        JournalRead read;
-        read.askedAt = askedAt;
-        read.failed = true;
-        read.expired = expired;
-        return read;
-    }
-
-    StoreMode mode() const
-    {
-        return m_world.storeModes[m_daemon];
-    }
-
-    void put(Milliseconds delay, const std::function<void(Inbox &)> &function)
-    {
-        m_world.deliver(m_daemon, m_life, delay, function);
-    }
-
-    void answerHold(const HoldOrder &order, MonotonicTime sentAt, Milliseconds delay)
-    {
-        m_world.m_queue.after(delay, [world = &m_world, daemon = m_daemon, life = m_life, order, sentAt] {
-            const auto n = world->indexOf(order.id);
-            if (world->linkModes[n] == LinkMode::Cut) {
-                world->deliver(daemon, life, Milliseconds{1'000}, [order, sentAt](Inbox &inbox) {
-                    HoldAnswer lost;
-                    lost.worker = order.worker;
-                    lost.token = order.token;
-                    lost.sentAt = sentAt;
-                    inbox.holdAnswers.push_back(lost);
-                });
-                return;
-            }
-            auto answer = world->worker(n).hold(order, world->m_queue.now());
-            answer.sentAt = sentAt;
-            answer.receivedAt = MonotonicTime{world->m_queue.now() + oneWay};
-            world->deliver(daemon, life, oneWay, [answer](Inbox &inbox) { inbox.holdAnswers.push_back(answer); });
-        });
-    }
-
-    void answerOrder(OrderKind kind, RunRef run, Token token, OrderResult result, Milliseconds delay)
-    {
-        const OrderAnswer answer{kind, run, token, result, now(), now() + delay};
-        put(delay, [answer](Inbox &inbox) { inbox.orderAnswers.push_back(answer); });
-    }
-
-    DispatchWorld &m_world;
-    std::size_t m_daemon;
-    std::uint64_t m_life;
-};
-
 Configuration plainConfiguration()
 {
     Configuration configuration;
@@ -285,6 +52,21 @@
     return step;
 }
 
+JobSpec jobOf(std::vector<StepSpec> steps)
+{
+    JobSpec spec;
+    spec.payload = "payload";
+    spec.steps = std::move(steps);
+    return spec;
+}
+
+void assertKept(const DispatchWorld &world)
+{
+    for (const auto &it : world.breaches) {
+        CPPUNIT_FAIL(it);
+    }
+}
+
 DispatchWorld::DispatchWorld(std::size_t daemons, std::size_t workers) : configuration(plainConfiguration())
 {
     for (std::size_t n = 0; n < workers; ++n) {
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -163,4 +163,10 @@
 /** A step of equal tasks of one core. */
 dispatch::StepSpec plainStep(std::uint32_t count, std::vector<std::uint32_t> after = {});
 
+/** A job of some steps. */
+dispatch::JobSpec jobOf(std::vector<dispatch::StepSpec> steps);
+
+/** Fails when the world has seen a promise broken. */
+void assertKept(const DispatchWorld &world);
+
 } // namespace flamingotally::fakes
