--- a/src/dispatch/entry.cpp
+++ b/src/dispatch/entry.cpp
@@ -49,8 +49,9 @@
     ownership.ownerWroteAt = entry.tickedAt;
     entry.work = {};
     entry.workers = {};
-    entry.advice.questions.clear();
-    entry.advice.wanted.clear();
+    const auto nextQuestion = entry.advice.nextNumber;
+    entry.advice = {};
+    entry.advice.nextNumber = nextQuestion;
     auto &writer = entry.writer(JournalWriter::Owner);
     const auto latency = writer.latency;
     writer = {};
--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -75,6 +75,7 @@
     MonotonicTime readingSince{}; ///< Reads were answered without a gap since then.
     std::uint32_t failures = 0; ///< Reads failed in a row.
     Milliseconds waits{0}; ///< How long the read under way may wait.
+    bool wanted = false; ///< A caller waits for a newer view: the next read is sent at once and waits for nothing.
     MonotonicTime slowUntil{}; ///< The store was seen to answer slowly; silence means less until then.
 };
 
@@ -152,6 +153,7 @@
 struct Relay {
     std::uint32_t asking = 0; ///< Questions under way.
     double busyMs = 0; ///< Time that these will take, in milliseconds.
+    bool proven = false; ///< Its last question was answered.
     MonotonicTime avoidUntil{}; ///< After a failure.
 };
 
@@ -169,6 +171,7 @@
     absl::flat_hash_map<std::uint64_t, Question> questions;
     std::map<std::string, Relay> relays; ///< By the daemon's name.
     std::vector<GroupRef> wanted; ///< Groups that need advice, most urgent first.
+    std::vector<GroupRef> ahead; ///< Groups that will soon be open and have not been asked about.
     std::vector<GroupRef> renewals; ///< Groups with placed runs whose tickets have expired; they go first.
 };
 
--- a/src/dispatch/systems/admission.cpp
+++ b/src/dispatch/systems/admission.cpp
@@ -14,6 +14,7 @@
 constexpr Milliseconds retrySoon{500}; ///< Told to callers whose call was not run.
 constexpr std::uint32_t maxTasksPerJob = 20'000;
 constexpr std::uint32_t maxOccurrences = 100'000;
+constexpr Milliseconds queryPatience{100}; ///< Then a state is told as it is known.
 
 /** Queue of a request: that with the longest prefix of its path on its host. */
 const QueueSpec *findQueue(const Configuration &configuration, const CallerCall &call)
@@ -161,11 +162,29 @@
             write(m_entry, JournalWriter::Entry, CancelledRecord{call.job}, call.call.handle);
             return Verdict::Writes;
         }
+        if (call.call.verb == CallVerb::Query && !hasEnded(state) && !isCurrentFor(call.call)) {
+            m_entry.journal.wanted = true;
+            m_entry.wakeBy(m_time.now);
+            m_entry.wakeBy(call.call.receivedAt + queryPatience);
+            return Verdict::Waits;
+        }
         m_entry.outbox.answers.push_back(
             {call.call.handle, call.call.verb, CallResult::Done, call.job, phaseOf(state), 0, Milliseconds{0}, ""});
         return Verdict::Answered;
     }
 
+    /**
+     * Tells whether a state is told as it was when the caller asked, or as near to that as can be had: a read that
+     * waits for news shows by its silence that there is none.
+     */
+    bool isCurrentFor(const CallerCall &call) const
+    {
+        const auto &view = m_entry.journal;
+        const bool waitsForNews = view.reading && view.waits > Milliseconds::zero();
+        return view.asOf >= call.receivedAt || waitsForNews || view.failures > 0
+            || m_time.now - call.receivedAt >= queryPatience;
+    }
+
     Verdict submit(Call &call, const QueueSpec &queue, const std::string &team)
     {
         if (!call.call.spec || !isSound(*call.call.spec)) {
--- a/src/dispatch/systems/advice.cpp
+++ b/src/dispatch/systems/advice.cpp
@@ -13,24 +13,36 @@
 constexpr std::uint32_t shortPerRelay = 4; ///< The service answers a host's questions one after the other.
 constexpr double longQuestionMs = 100; ///< Questions that take longer have a relay for themselves.
 constexpr std::size_t relaysPerShortOne = 4; ///< One relay of so many is kept for short questions.
-constexpr Milliseconds answerSlack{1'500}; ///< Beyond the time that the service says it takes.
+constexpr double unprovenMs = 50; ///< A relay that has not answered yet is taken for so much busier.
+constexpr Milliseconds answerSlack{500}; ///< Beyond the time that the service says it takes.
 constexpr Milliseconds relayPause{3'000}; ///< After a failure.
 constexpr std::size_t spareWorkers = 4; ///< Asked beyond the number of tasks that wait, when known to be good.
 
 /** Tells whether a relay takes another question of this length. */
 bool takesQuestion(const Relay &relay, double costMs, const TickTime &time)
 {
-    const std::uint32_t most = costMs > longQuestionMs ? 1 : shortPerRelay;
+    const std::uint32_t most = costMs > longQuestionMs || !relay.proven ? 1 : shortPerRelay;
     return relay.asking < most && relay.busyMs <= std::max(longQuestionMs, costMs) && time.now >= relay.avoidUntil;
 }
 
-/** Tells whether long questions already have as many relays as they may. */
-bool areLongOnesFull(const AdviceState &advice)
+/** Tells whether long questions already have as many of the relays that answer as they may. */
+bool areLongOnesFull(const AdviceState &advice, const TickTime &time)
 {
-    const auto busy = static_cast<std::size_t>(
-        std::ranges::count_if(advice.relays, [](const auto &it) { return it.second.busyMs > longQuestionMs; }));
-    const auto kept = std::max<std::size_t>(1, advice.relays.size() / relaysPerShortOne);
-    return busy + kept >= advice.relays.size() && advice.relays.size() > 1;
+    std::size_t usable = 0;
+    std::size_t busy = 0;
+    for (const auto &[name, relay] : advice.relays) {
+        const bool isUsable = time.now >= relay.avoidUntil;
+        usable += isUsable ? 1 : 0;
+        busy += isUsable && relay.busyMs > longQuestionMs ? 1 : 0;
+    }
+    const auto kept = std::max<std::size_t>(1, usable / relaysPerShortOne);
+    return busy + kept >= usable && usable > 1;
+}
+
+/** How soon a relay is likely to answer, in milliseconds. */
+double expectedMs(const Relay &relay)
+{
+    return relay.busyMs + (relay.proven ? 0 : unprovenMs);
 }
 
 /** Daemon that will answer first; null when all have enough to do. */
@@ -40,12 +52,12 @@
     for (const auto &[name, record] : entry.ownership.daemons) {
         relays.try_emplace(name);
     }
-    if (costMs > longQuestionMs && areLongOnesFull(entry.advice)) {
+    if (costMs > longQuestionMs && areLongOnesFull(entry.advice, time)) {
         return nullptr;
     }
     std::pair<const std::string, Relay> *best = nullptr;
     for (auto &it : relays) {
-        if (takesQuestion(it.second, costMs, time) && (!best || it.second.busyMs < best->second.busyMs)) {
+        if (takesQuestion(it.second, costMs, time) && (!best || expectedMs(it.second) < expectedMs(best->second))) {
             best = &it;
         }
     }
@@ -166,6 +178,7 @@
         advice.question = 0;
         advice.renewing.clear();
         advice.answeredAt = time.now;
+        relay.proven = !answer.failed;
         if (answer.failed) {
             relay.avoidUntil = time.now + relayPause;
             note(entry, EventKind::AdviceFailed, 0, "relay={} workers={}", question.relay, question.workers.size());
@@ -192,6 +205,16 @@
         }
         ask(entry, group, time);
     }
+    std::erase_if(entry.advice.ahead, [&](GroupRef group) {
+        if (!entry.work.groups.contains(group)) {
+            return true;
+        }
+        const auto &advice = entry.work.groups.get<GroupAdvice>(group);
+        if (advice.questions == 0 && !entry.work.groups.get<GroupState>(group).open) {
+            ask(entry, group, time);
+        }
+        return advice.questions > 0 || entry.work.groups.get<GroupState>(group).open;
+    });
 }
 
 } // namespace flamingotally::dispatch
--- a/src/dispatch/systems/read_journal.cpp
+++ b/src/dispatch/systems/read_journal.cpp
@@ -230,12 +230,14 @@
     if (view.reading) {
         return;
     }
-    if (time.now < view.nextReadAt) {
+    const bool isAwaited = view.wanted && view.failures == 0;
+    if (time.now < view.nextReadAt && !isAwaited) {
         entry.wakeBy(view.nextReadAt);
         return;
     }
     view.reading = true;
-    const auto wait = view.failures > 0 ? Milliseconds::zero() : entry.settings.journalWait;
+    view.wanted = false;
+    const auto wait = view.failures > 0 || isAwaited ? Milliseconds::zero() : entry.settings.journalWait;
     view.waits = wait;
     entry.outbox.readJournal = JournalReadOrder{!view.loaded, view.nextOffset, wait};
 }
--- a/src/dispatch/work_end.cpp
+++ b/src/dispatch/work_end.cpp
@@ -81,6 +81,8 @@
     if (isDone(work, group)) {
         openGroups(entry, occurrence, time);
         completeIfDone(entry, occurrence);
+    } else {
+        askAhead(entry, occurrence);
     }
 }
 
--- a/src/dispatch/work_step.cpp
+++ b/src/dispatch/work_step.cpp
@@ -38,6 +38,12 @@
     return state.done == state.tasks.size();
 }
 
+bool isHalfDone(const Work &work, GroupRef group)
+{
+    const auto &state = work.groups.get<GroupState>(group);
+    return 2 * std::size_t{state.done} >= state.tasks.size();
+}
+
 void openGroups(Entry &entry, OccurrenceRef occurrence, const TickTime &time)
 {
     auto &work = entry.work;
@@ -59,6 +65,28 @@
     }
 }
 
+void askAhead(Entry &entry, OccurrenceRef occurrence)
+{
+    auto &work = entry.work;
+    const auto &state = work.occurrences.get<OccurrenceWork>(occurrence);
+    const auto job = work.occurrences.get<OccurrenceIdentity>(occurrence).job;
+    const auto &plan = entry.jobs.table.get<JobPlan>(job);
+    if (state.closed || !plan.treatment.advice.required) {
+        return;
+    }
+    for (std::size_t n = 0; n < plan.spec.steps.size(); ++n) {
+        const auto group = state.groups[n];
+        const bool isAsked = work.groups.get<GroupState>(group).open || work.groups.get<GroupAdvice>(group).questions > 0
+            || std::ranges::find(entry.advice.ahead, group) != entry.advice.ahead.end();
+        const bool isNear = std::ranges::all_of(plan.spec.steps[n].after, [&](std::uint32_t earlier) {
+            return isHalfDone(work, state.groups[earlier]);
+        });
+        if (!isAsked && isNear) {
+            entry.advice.ahead.push_back(group);
+        }
+    }
+}
+
 void completeIfDone(Entry &entry, OccurrenceRef occurrence)
 {
     auto &work = entry.work;
--- a/src/dispatch/work_step.h
+++ b/src/dispatch/work_step.h
@@ -18,6 +18,12 @@
 /** Tells whether all tasks of a group have ended well. */
 bool isDone(const Work &work, GroupRef group);
 
+/** Tells whether half of the tasks of a group or more have ended well. */
+bool isHalfDone(const Work &work, GroupRef group);
+
+/** Has the policy service asked about groups whose earlier steps are half done, so that tickets are there in time. */
+void askAhead(Entry &entry, OccurrenceRef occurrence);
+
 /** Opens the groups of an occurrence whose earlier steps are done. */
 void openGroups(Entry &entry, OccurrenceRef occurrence, const TickTime &time);
 
--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -15,6 +15,7 @@
 
 constexpr Milliseconds oneWay{2}; ///< Of every message.
 constexpr Milliseconds lateBy{3'000}; ///< Starts of late workers are carried out so much later.
+constexpr Milliseconds adviceTime{20}; ///< Of the policy service, for jobs that no other time is set for.
 constexpr Milliseconds wallStart{1'700'000'000'000}; ///< Wall time at which a world begins.
 
 /** The ports of one daemon. */
@@ -182,7 +183,10 @@
                 answer.good.push_back({it, "ticket of " + it});
             }
         }
-        put(Milliseconds{20}, [answer](Inbox &inbox) { inbox.adviceAnswers.push_back(answer); });
+        m_world.askedAt.try_emplace({question.step.job, question.step.step}, m_world.m_queue.now());
+        const auto it = m_world.adviceTimes.find(question.step.job);
+        put(it == m_world.adviceTimes.end() ? adviceTime : it->second,
+            [answer](Inbox &inbox) { inbox.adviceAnswers.push_back(answer); });
     }
 
     void answer(const CallerAnswer &answer)
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -196,13 +196,18 @@
 }
 
 CallHandle DispatchWorld::submit(std::size_t daemon, JobId id, JobSpec spec)
+{
+    return submitTo("/q/", daemon, id, std::move(spec));
+}
+
+CallHandle DispatchWorld::submitTo(const std::string &prefix, std::size_t daemon, JobId id, JobSpec spec)
 {
     m_specs.try_emplace(id, spec);
     CallerCall call;
     call.handle = m_nextHandle++;
     call.verb = CallVerb::Submit;
     call.host = "host";
-    call.path = fmt::format("/q/{:016x}", id);
+    call.path = fmt::format("{}{:016x}", prefix, id);
     call.key = digestOfKey(redKey);
     call.spec = std::move(spec);
     call.receivedAt = MonotonicTime{m_queue.now()};
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -50,6 +50,12 @@
     /** Hands a job in at a daemon; the id counts from one. */
     dispatch::CallHandle submit(std::size_t daemon, dispatch::JobId id, dispatch::JobSpec spec);
 
+    /** Hands a job in at a daemon, on the queue with some prefix. */
+    dispatch::CallHandle submitTo(const std::string &prefix,
+                                  std::size_t daemon,
+                                  dispatch::JobId id,
+                                  dispatch::JobSpec spec);
+
     /** Sends another call at a daemon. */
     dispatch::CallHandle call(std::size_t daemon, dispatch::CallVerb verb, dispatch::JobId id);
 
@@ -106,6 +112,8 @@
     dispatch::Configuration configuration;
     std::vector<std::string> domainsOut;
     std::set<std::string> notAdvised; ///< Workers that the policy service refuses.
+    std::map<dispatch::JobId, Milliseconds> adviceTimes; ///< Time of the policy service for a job; 20 ms when not named.
+    std::map<std::pair<dispatch::JobId, std::uint32_t>, Milliseconds> askedAt; ///< First question of a job's step.
     Milliseconds storeDelay{0}; ///< Added to the answers of all appends.
     Milliseconds wallStep{0}; ///< Added to the wall clock of all daemons.
 
