Ask the store for less after a read that came too late, and take no part for the whole

A daemon that was behind asked for 1 MB with a deadline of 500 ms beyond its wait; a link of 10 Mbit/s needs 840 ms for that, so it asked again and again and took nothing in. Ruled out: the store's own limits (no refusals), the processor.

--- a/src/dispatch/journal_type.h
+++ b/src/dispatch/journal_type.h
@@ -185,6 +185,7 @@
     std::uint64_t nextOffset = 0; ///< All before it has been read.
     MonotonicTime askedAt{}; ///< What was stored before this time is in it or was read before.
     bool whole = false; ///< The newest record of every key, in place of those from an offset on.
+    bool complete = true; ///< There was no more when it was answered; else what was stored before may be missing.
     bool failed = false; ///< No answer; all else is void.
     bool expired = false; ///< With `failed`: the offset is no longer kept.
 };
--- a/src/dispatch/systems/read_journal.cpp
+++ b/src/dispatch/systems/read_journal.cpp
@@ -184,7 +184,9 @@
     if (isSlow) {
         view.slowUntil = time.now + slowMemory;
     }
-    view.asOf = std::max(view.asOf, read.askedAt);
+    if (read.complete) {
+        view.asOf = std::max(view.asOf, read.askedAt);
+    }
     view.readAt = time.now;
     if (view.failures > 0) {
         note(entry, EventKind::StoreRegained, 0, "offset={} failures={}", view.nextOffset, view.failures);
@@ -224,7 +226,7 @@
         } else {
             applyRead(entry, read, time);
             const auto gather = entry.isOwner() ? entry.settings.ownerGather : entry.settings.journalGather;
-            view.nextReadAt = time.now + gather;
+            view.nextReadAt = read.complete ? time.now + gather : time.now;
         }
     }
     if (view.reading) {
--- a/src/dispatch/work_step.cpp
+++ b/src/dispatch/work_step.cpp
@@ -76,11 +76,11 @@
     }
     for (std::size_t n = 0; n < plan.spec.steps.size(); ++n) {
         const auto group = state.groups[n];
-        const bool isAsked = work.groups.get<GroupState>(group).open || work.groups.get<GroupAdvice>(group).questions > 0
+        const bool isAsked = work.groups.get<GroupState>(group).open
+            || work.groups.get<GroupAdvice>(group).questions > 0
             || std::ranges::find(entry.advice.ahead, group) != entry.advice.ahead.end();
-        const bool isNear = std::ranges::all_of(plan.spec.steps[n].after, [&](std::uint32_t earlier) {
-            return isHalfDone(work, state.groups[earlier]);
-        });
+        const bool isNear = std::ranges::all_of(
+            plan.spec.steps[n].after, [&](std::uint32_t earlier) { return isHalfDone(work, state.groups[earlier]); });
         if (!isAsked && isNear) {
             entry.advice.ahead.push_back(group);
         }
--- a/standin/platform_standin.cpp
+++ b/standin/platform_standin.cpp
@@ -81,6 +81,20 @@
     return bytes;
 }
 
+/** Keeps no more records than fit into some kilobytes, but one at least. */
+void cutAfter(std::vector<ModelRecord> &records, std::uint64_t kilobytes)
+{
+    constexpr std::uint64_t bytesPerKilobyte = 1'024;
+    std::uint64_t bytes = 0;
+    for (std::size_t n = 0; n < records.size(); ++n) {
+        bytes += records[n].key.size() + records[n].value.size();
+        if (n > 0 && bytes > kilobytes * bytesPerKilobyte) {
+            records.resize(n);
+            return;
+        }
+    }
+}
+
 std::string encodeBase64(const std::string &bytes)
 {
     std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
@@ -280,7 +294,10 @@
 void PlatformStandin::read(const HttpRequest &request, const HttpResponder &respond, Milliseconds until)
 {
     auto &topic = m_topics[queryText(request, "topic")];
-    const auto records = topic.read(queryNumber(request, "from"));
+    auto records = topic.read(queryNumber(request, "from"));
+    if (records) {
+        cutAfter(*records, queryNumber(request, "maxKb"));
+    }
     if (!records) {
         respond(jsonResponse(statusGone, {{"first", topic.first()}}));
     } else if (!records->empty() || now() >= until) {
--- a/tests/dispatch_failure_test.cpp
+++ b/tests/dispatch_failure_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(movesATaskThatStandsStill);
     CPPUNIT_TEST(renewsTicketsThatExpireBeforeTheirPlacementIsStored);
     CPPUNIT_TEST(waitsNoLongerThanALeaseOnceTheFormerOwnerHasResigned);
+    CPPUNIT_TEST(deniesNoJobBeforeItHasReadAll);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -262,6 +263,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.startsOf({1, 0, 0, 0}));
         assertKept(world);
     }
+
+    /** A read that brought only a part of what was stored was taken for all of it. */
+    void deniesNoJobBeforeItHasReadAll()
+    {
+        constexpr JobId jobs = 60;
+        DispatchWorld world(3, 2);
+        world.run(settling);
+        const std::size_t reader = world.owner().value() == 0 ? 1 : 0;
+        world.storeModes[reader] = StoreMode::Silent;
+        for (JobId job = 1; job <= jobs; ++job) {
+            world.submit(2, job, jobOf({plainStep(1)}));
+            world.run(Milliseconds{30});
+        }
+        world.recordsPerRead = 1;
+        world.storeModes[reader] = StoreMode::Up;
+        world.run(Milliseconds{800});
+        const auto handle = world.call(reader, CallVerb::Query, jobs);
+        world.run(Milliseconds{3'000});
+        CPPUNIT_ASSERT(!world.answerOf(handle) || world.answerOf(handle)->result != CallResult::UnknownJob);
+        assertKept(world);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchFailureTest);
--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -52,8 +52,14 @@
         const bool hasNews = order.whole || m_world.topic.end() > order.from;
         m_world.m_queue.after(
             hasNews ? oneWay : Milliseconds{20}, [world = &m_world, daemon = m_daemon, life = m_life, order, askedAt] {
-                const auto records = order.whole ? std::optional(world->topic.newest()) : world->topic.read(order.from);
-                world->deliver(daemon, life, oneWay, [=, end = world->topic.end()](Inbox &inbox) {
+                auto records = order.whole ? std::optional(world->topic.newest()) : world->topic.read(order.from);
+                auto end = world->topic.end();
+                const bool isCut = !order.whole && records && records->size() > world->recordsPerRead;
+                if (isCut) {
+                    records->resize(world->recordsPerRead);
+                    end = order.from + world->recordsPerRead;
+                }
+                world->deliver(daemon, life, oneWay, [=](Inbox &inbox) {
                     if (!records) {
                         inbox.journalReads.push_back(failedRead(askedAt, true));
                         return;
@@ -62,6 +68,7 @@
                     read.askedAt = askedAt;
                     read.whole = order.whole;
                     read.nextOffset = end;
+                    read.complete = !isCut;
                     for (const auto &it : *records) {
                         auto decoded = decodeJournalRecord(it.key, it.value);
                         read.entries.push_back(
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -9,6 +9,7 @@
 #include "store_model.h"
 #include "worker_model.h"
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -51,10 +52,8 @@
     dispatch::CallHandle submit(std::size_t daemon, dispatch::JobId id, dispatch::JobSpec spec);
 
     /** Hands a job in at a daemon, on the queue with some prefix. */
-    dispatch::CallHandle submitTo(const std::string &prefix,
-                                  std::size_t daemon,
-                                  dispatch::JobId id,
-                                  dispatch::JobSpec spec);
+    dispatch::CallHandle
+    submitTo(const std::string &prefix, std::size_t daemon, dispatch::JobId id, dispatch::JobSpec spec);
 
     /** Sends another call at a daemon. */
     dispatch::CallHandle call(std::size_t daemon, dispatch::CallVerb verb, dispatch::JobId id);
@@ -112,8 +111,10 @@
     dispatch::Configuration configuration;
     std::vector<std::string> domainsOut;
     std::set<std::string> notAdvised; ///< Workers that the policy service refuses.
-    std::map<dispatch::JobId, Milliseconds> adviceTimes; ///< Time of the policy service for a job; 20 ms when not named.
+    std::map<dispatch::JobId, Milliseconds>
+        adviceTimes; ///< Time of the policy service for a job; 20 ms when not named.
     std::map<std::pair<dispatch::JobId, std::uint32_t>, Milliseconds> askedAt; ///< First question of a job's step.
+    std::size_t recordsPerRead = std::numeric_limits<std::size_t>::max(); ///< Most that a read of the journal brings.
     Milliseconds storeDelay{0}; ///< Added to the answers of all appends.
     Milliseconds wallStep{0}; ///< Added to the wall clock of all daemons.
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -4,6 +4,7 @@
 #include "job_codec.h"
 #include "net_fixture.h"
 #include "platform_standin.h"
+#include "store_client.h"
 
 #include <boost/json.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -116,6 +117,7 @@
     CPPUNIT_TEST(storesOnceWhenAnswersAreLost);
     CPPUNIT_TEST(saysWhenToComeBackWhileTheStoreIsBusy);
     CPPUNIT_TEST(survivesRecordsOfOtherWriters);
+    CPPUNIT_TEST(readsNoMoreThanItAsksFor);
     CPPUNIT_TEST(showsMetrics);
     CPPUNIT_TEST(readsJobs);
     CPPUNIT_TEST(readsWorkers);
@@ -193,6 +195,32 @@
         scene.awaitState(1, jobPath, "completed");
     }
 
+    void readsNoMoreThanItAsksFor()
+    {
+        boost::asio::io_context io;
+        HttpClient client(io);
+        standin::PlatformStandin standin(io, 0);
+        for (int n = 0; n < 4; ++n) {
+            standin.put("keyed.t", fmt::format("k{}", n), std::string(20'000, 'x'));
+        }
+        platform::StoreClient store(client, standin.storeAddress(), [] { return std::vector<std::string>{}; });
+        std::optional<platform::StoreRead> answer;
+        store.read("keyed.t", 0, Milliseconds{0}, 32, [&](const platform::StoreRead &read) { answer = read; });
+        runUntil(io, [&] { return answer.has_value(); });
+        CPPUNIT_ASSERT(answer->result == platform::StoreResult::Done);
+        CPPUNIT_ASSERT(!answer->complete);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, answer->next);
+        store.read("keyed.t", 3, Milliseconds{0}, 32, [&](const platform::StoreRead &read) { answer = read; });
+        runUntil(io, [&] { return answer->next == 4; });
+        CPPUNIT_ASSERT(answer->complete);
+        platform::ReadSize size;
+        const auto first = size.kilobytes();
+        size.note(platform::StoreResult::Unknown);
+        CPPUNIT_ASSERT(size.kilobytes() < first);
+        size.note(platform::StoreResult::Done);
+        CPPUNIT_ASSERT_EQUAL(first, size.kilobytes());
+    }
+
     void showsMetrics()
     {
         PlatformScene scene(1);
