Bound what a pass over the waiting groups looks at

Each group judged all workers for each task, each judgement walked all room kept so far, and workers were listed for questions that no relay could take.

Change: a pass lists the workers that take tasks once, by pool; a group looks at each once and then only at those that fitted; a need that found no room is not looked for again in the pass; kept room is a column of the worker, void when the pass ends; passes are rarer the more groups wait; questions are made only while a relay is free, for 64 groups at most, and for none whose team is at its limit.

--- a/src/dispatch/policy/placer.h
+++ b/src/dispatch/policy/placer.h
@@ -25,6 +25,20 @@
     WorkerRef worker;
 };
 
+/** Tells whether a worker takes tasks at all: it is known and heard, stays, and its domain is in service. */
+inline bool takesTasks(const Entry &entry, WorkerRef worker, const TickTime &time)
+{
+    constexpr Milliseconds heardWithin{1'900}; // workers not heard for longer take nothing
+    const auto &health = entry.workers.table.get<WorkerHealth>(worker);
+    const auto &link = entry.workers.table.get<WorkerLink>(worker);
+    if (!health.listed || health.draining || !link.known || link.silent > 0 || time.now < health.avoidUntil
+        || time.now - link.heardAt > heardWithin) {
+        return false;
+    }
+    const auto &out = entry.config.domainsOut;
+    return std::ranges::find(out, entry.workers.table.get<WorkerIdentity>(worker).domain) == out.end();
+}
+
 /**
  * Places tasks of one group.
  * @tparam Choice Which worker is taken.
@@ -35,7 +49,8 @@
 public:
     Placer(Entry &entry, GroupRef group, const TickTime &time)
         : m_entry(entry), m_group(group), m_time(time), m_step(stepOf(entry, group)),
-          m_treatment(treatmentOf(entry, group)), m_need(roomOf(m_step))
+          m_treatment(treatmentOf(entry, group)), m_tickets(entry.work.groups.get<GroupAdvice>(group).byWorker),
+          m_need(roomOf(m_step))
     {
     }
 
@@ -45,7 +60,7 @@
      */
     std::uint32_t place()
     {
-        return m_step.gang ? placeGang() : placeSingles();
+        return isCrowded() ? 0 : m_step.gang ? placeGang() : placeSingles();
     }
 
     /** Tells whether a worker with room lacked only a ticket. */
@@ -57,22 +72,18 @@
     /** Judges a worker for the group. */
     Fit judge(WorkerRef worker) const
     {
-        const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
-        if (!isUsable(worker, identity)) {
-            return Fit::Unsuited;
-        }
-        const auto room = identity.capacity - m_entry.workers.table.get<WorkerRoom>(worker).used - keptOn(worker);
-        if (!m_need.fitsInto(room) || !allowsAnother(worker)) {
+        if (!hasRoom(worker) || !allowsAnother(worker)) {
             return Fit::NoRoom;
         }
-        return judgeTicket(worker, identity);
+        const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
+        return takesTasks(m_entry, worker, m_time) && suits(identity) ? judgeTicket(worker, identity) : Fit::Unsuited;
     }
 
     /** Tells whether a worker may run the group's tasks at all, room and tickets aside. */
     bool isUsable(WorkerRef worker) const
     {
         const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
-        return isUsable(worker, identity) && m_need.fitsInto(identity.capacity);
+        return m_need.fitsInto(identity.capacity) && suits(identity) && takesTasks(m_entry, worker, m_time);
     }
 
     /** Tells whether the team's limit stands in the way of another task. */
@@ -92,47 +103,48 @@
         for (const auto &id : advice.renewing) {
             const auto it = m_entry.workers.byId.find(id);
             if (it != m_entry.workers.byId.end() && waiting > 0 && judge(it->second) == Fit::NeedsTicket) {
-                m_entry.work.holds.push_back({it->second, m_need});
+                keep(it->second);
                 --waiting;
             }
         }
         const auto waited = m_time.now - m_entry.work.groups.get<GroupState>(m_group).openedAt;
-        if (waiting > 0 && waited > gatherAfter) {
+        if (waiting > 0 && waited > gatherAfter && m_entry.work.pass.gathered < gathersPerPass) {
             gatherRoom();
         }
     }
 
 private:
     static constexpr Milliseconds gatherAfter{300}; ///< Large tasks that have waited so long have room gathered.
+    static constexpr std::uint32_t gathersPerPass = 32;
     static constexpr std::int64_t largePart = 4; ///< A task that takes more than one such part of a worker is large.
     static constexpr Milliseconds ticketMargin{200}; ///< For the order to arrive while the ticket is valid.
-    static constexpr Milliseconds heardWithin{1'900}; ///< Workers not heard for longer take nothing.
 
-    bool isUsable(WorkerRef worker, const WorkerIdentity &identity) const
+    /** Tells whether a worker is of the group's pool and has its label. */
+    bool suits(const WorkerIdentity &identity) const
+    {
+        return identity.pool == m_treatment.pool && hasLabel(identity);
+    }
+
+    bool hasLabel(const WorkerIdentity &identity) const
     {
-        const auto &health = m_entry.workers.table.get<WorkerHealth>(worker);
-        const auto &link = m_entry.workers.table.get<WorkerLink>(worker);
-        if (identity.pool != m_treatment.pool || !health.listed || health.draining || !link.known || link.silent > 0
-            || m_time.now < health.avoidUntil || m_time.now - link.heardAt > heardWithin) {
-            return false;
-        }
-        const auto &out = m_entry.config.domainsOut;
-        if (std::ranges::find(out, identity.domain) != out.end()) {
-            return false;
-        }
         return m_step.requiredLabel.empty()
             || std::ranges::find(identity.labels, m_step.requiredLabel) != identity.labels.end();
     }
 
+    /** Workers of the group's pool that take tasks in this pass. */
+    const std::vector<WorkerRef> &poolWorkers() const
+    {
+        static const std::vector<WorkerRef> none;
+        const auto &pools = m_entry.work.pass.pools;
+        const auto it = std::ranges::find(pools, m_treatment.pool, &PassPool::name);
+        return it == pools.end() ? none : it->workers;
+    }
+
     /** Room that groups that go before this one, and other members of its gang, are to have on a worker. */
     Resources keptOn(WorkerRef worker) const
     {
-        Resources sum;
-        for (const auto &it : m_entry.work.holds) {
-            if (it.worker == worker) {
-                sum += it.amount;
-            }
-        }
+        const auto &room = m_entry.workers.table.get<WorkerRoom>(worker);
+        auto sum = room.keptInPass == m_entry.work.pass.number ? room.kept : Resources{};
         for (const auto &it : m_reserved) {
             if (it.worker == worker) {
                 sum += m_need;
@@ -141,6 +153,60 @@
         return sum;
     }
 
+    /** Keeps room for one task on a worker for the rest of the pass. */
+    void keep(WorkerRef worker)
+    {
+        auto &room = m_entry.workers.table.get<WorkerRoom>(worker);
+        if (std::exchange(room.keptInPass, m_entry.work.pass.number) != m_entry.work.pass.number) {
+            room.kept = {};
+        }
+        room.kept += m_need;
+    }
+
+    bool hasRoom(WorkerRef worker) const
+    {
+        const auto &capacity = m_entry.workers.table.get<WorkerIdentity>(worker).capacity;
+        return m_need.fitsInto(capacity - m_entry.workers.table.get<WorkerRoom>(worker).used - keptOn(worker));
+    }
+
+    /** Tells whether an earlier group of the pass that needed no more found no room anywhere. */
+    bool isCrowded() const
+    {
+        return std::ranges::any_of(m_entry.work.pass.crowded, [&](const CrowdedNeed &it) {
+            return it.pool == m_treatment.pool && it.need.fitsInto(m_need)
+                && (it.label.empty() || it.label == m_step.requiredLabel);
+        });
+    }
+
+    /** Finds the workers that can take a task now. Later choices look at no others: room only shrinks in a pass. */
+    void findCandidates()
+    {
+        m_isSearched = true;
+        if (m_treatment.advice.required && m_tickets.empty()) {
+            m_lacksTickets = true;
+            return;
+        }
+        bool anyRoom = false;
+        for (const auto worker : poolWorkers()) {
+            const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
+            if (!hasRoom(worker) || !hasLabel(identity)) {
+                continue;
+            }
+            anyRoom = true;
+            if (!allowsAnother(worker)) {
+                continue;
+            }
+            const auto fit = judgeTicket(worker, identity);
+            m_lacksTickets = m_lacksTickets || fit == Fit::NeedsTicket;
+            if (fit == Fit::Fits) {
+                m_candidates.push_back(worker);
+            }
+        }
+        if (!anyRoom) {
+            m_entry.work.pass.crowded.push_back({m_treatment.pool, m_step.requiredLabel, m_need});
+        }
+    }
+
     /** Tasks of the group that a worker has, those set aside included. */
     std::uint32_t sameGroupOn(WorkerRef worker) const
     {
@@ -165,9 +231,8 @@
         if (!m_treatment.advice.required) {
             return Fit::Fits;
         }
-        const auto &tickets = m_entry.work.groups.get<GroupAdvice>(m_group).byWorker;
-        const auto it = tickets.find(identity.id);
-        if (it == tickets.end()) {
+        const auto it = m_tickets.find(identity.id);
+        if (it == m_tickets.end()) {
             return Fit::NeedsTicket;
         }
         if (!it->second.good) {
@@ -210,9 +275,8 @@
         if (!m_treatment.advice.required) {
             return true;
         }
-        const auto &tickets = m_entry.work.groups.get<GroupAdvice>(m_group).byWorker;
-        const auto it = tickets.find(id);
-        return it != tickets.end() && it->second.good;
+        const auto it = m_tickets.find(id);
+        return it != m_tickets.end() && it->second.good;
     }
 
     /** Keeps the worker free that is nearest to having room for a large task. */
@@ -220,12 +284,13 @@
     {
         WorkerRef best;
         double bestPart = -1;
-        m_entry.workers.table.forEach([&](WorkerRef worker) {
+        for (const auto worker : poolWorkers()) {
             const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
-            const bool isCandidate = isUsable(worker) && isLargeOn(identity.capacity) && isKnownGood(identity.id)
-                && keptOn(worker) == Resources{} && allowsAnother(worker);
+            const bool isCandidate = isLargeOn(identity.capacity) && m_need.fitsInto(identity.capacity)
+                && keptOn(worker) == Resources{} && hasLabel(identity) && isKnownGood(identity.id)
+                && allowsAnother(worker);
             if (!isCandidate) {
-                return;
+                continue;
             }
             const auto free = identity.capacity - m_entry.workers.table.get<WorkerRoom>(worker).used;
             const auto part = [](std::int64_t has, std::int64_t needs) {
@@ -238,32 +303,32 @@
                 best = worker;
                 bestPart = least;
             }
-        });
+        }
         if (best.isSet()) {
-            m_entry.work.holds.push_back({best, m_need});
+            keep(best);
+            ++m_entry.work.pass.gathered;
         }
     }
 
     /** Best worker for a task; unset when none fits. */
     WorkerRef choose(const TaskState &task, const std::string &rack)
     {
+        if (!m_isSearched) {
+            findCandidates();
+        }
         WorkerRef best;
         double bestScore = 0;
-        m_entry.workers.table.forEach([&](WorkerRef worker) {
-            if (!rack.empty() && m_entry.workers.table.get<WorkerIdentity>(worker).rack != rack) {
-                return;
-            }
-            const auto fit = judge(worker);
-            m_lacksTickets = m_lacksTickets || fit == Fit::NeedsTicket;
-            if (fit != Fit::Fits) {
-                return;
+        for (const auto worker : m_candidates) {
+            const bool isElsewhere = !rack.empty() && m_entry.workers.table.get<WorkerIdentity>(worker).rack != rack;
+            if (isElsewhere || !hasRoom(worker) || !allowsAnother(worker)) {
+                continue;
             }
             const double score = Choice::score(describe(worker, task));
             if (!best.isSet() || score > bestScore) {
                 best = worker;
                 bestScore = score;
             }
-        });
+        }
         return best;
     }
 
@@ -370,8 +435,11 @@
     const TickTime &m_time;
     const StepSpec &m_step;
     const Treatment &m_treatment;
+    const absl::flat_hash_map<std::string, Ticket> &m_tickets; ///< By the worker's id.
     Resources m_need;
     std::vector<Reservation> m_reserved; ///< Room set aside for members of a gang.
+    std::vector<WorkerRef> m_candidates; ///< Workers that could take a task when they were looked for.
+    bool m_isSearched = false;
     bool m_lacksTickets = false;
 };
 
--- a/src/dispatch/systems/advice.cpp
+++ b/src/dispatch/systems/advice.cpp
@@ -115,6 +115,9 @@
 
 void ask(Entry &entry, GroupRef group, const TickTime &time)
 {
+    if (!findRelay(entry, costOf(entry, group, 1), time)) {
+        return;
+    }
     auto workers = workersToAsk(entry, group, time);
     const double costMs = costOf(entry, group, workers.all.size());
     auto *relay = workers.all.empty() ? nullptr : findRelay(entry, costMs, time);
--- a/src/dispatch/systems/placement.cpp
+++ b/src/dispatch/systems/placement.cpp
@@ -14,6 +14,7 @@
 constexpr double milliPerCore = 1'000;
 constexpr int lateFactor = 3; ///< An end is of use within so many times the objective.
 constexpr Milliseconds unstoredLimit{500}; ///< Nothing is placed while a batch waits longer to be stored.
+constexpr std::size_t wantedAtMost = 64; ///< Groups that are asked about; tickets of those far behind would expire.
 constexpr Milliseconds passInterval{10}; ///< Least time between two passes over what waits.
 
 /** What can still be had of an occurrence whose objective is known, when a group of it begins now. */
@@ -89,6 +90,33 @@
     }
 }
 
+/** Begins a pass: finds the workers that take tasks, by pool. */
+void beginPass(Entry &entry, const TickTime &time)
+{
+    auto &pass = entry.work.pass;
+    ++pass.number;
+    pass.pools.clear();
+    pass.crowded.clear();
+    pass.gathered = 0;
+    entry.workers.table.forEach([&](WorkerRef worker) {
+        if (!takesTasks(entry, worker, time)) {
+            return;
+        }
+        const auto &name = entry.workers.table.get<WorkerIdentity>(worker).pool;
+        auto it = std::ranges::find(pass.pools, name, &PassPool::name);
+        if (it == pass.pools.end()) {
+            it = pass.pools.insert(pass.pools.end(), {name, {}});
+        }
+        it->workers.push_back(worker);
+    });
+}
+
+/** Ends a pass: room that was kept in it is free for whoever comes first in the next one. */
+void endPass(Entry &entry)
+{
+    ++entry.work.pass.number;
+}
+
 void notePlaced(Entry &entry, GroupRef group, std::uint32_t placed, const TickTime &time)
 {
     const auto &identity = entry.work.groups.get<GroupIdentity>(group);
@@ -135,25 +163,27 @@
         return;
     }
     constexpr Milliseconds fullPassInterval{150};
-    entry.work.passAt = time.now + passInterval;
+    constexpr std::size_t groupsPerMillisecond = 100; ///< The more there are, the rarer the passes.
+    entry.work.passAt = time.now + passInterval + Milliseconds(entry.work.waiting.size() / groupsPerMillisecond);
     entry.work.fullPassAt = time.now + fullPassInterval;
     entry.work.changed = false;
     tidyWaiting(entry);
     sortWaiting<FairOrder>(entry, time);
-    entry.work.holds.clear();
+    beginPass(entry, time);
     for (const auto group : entry.work.waiting) {
         Placer<FitChoice> placer(entry, group, time);
         if (const auto placed = placer.place(); placed > 0) {
             notePlaced(entry, group, placed, time);
         }
         const bool isNew = entry.work.groups.get<GroupAdvice>(group).questions == 0;
-        const bool needsAdvice = treatmentOf(entry, group).advice.required && (isNew || placer.lacksTickets());
+        const bool needsAdvice = treatmentOf(entry, group).advice.required && (isNew || placer.lacksTickets())
+            && entry.advice.wanted.size() < wantedAtMost && !placer.isAtLimit();
         if (needsAdvice && hasWaiting(entry, group)) {
             entry.advice.wanted.push_back(group);
         }
         placer.holdRoom();
     }
-    entry.work.holds.clear();
+    endPass(entry);
     tidyWaiting(entry);
     entry.wakeBy(entry.work.fullPassAt);
 }
--- a/src/dispatch/work_base.h
+++ b/src/dispatch/work_base.h
@@ -121,10 +121,25 @@
     }
 };
 
-/** Room that a pass keeps free on a worker for a group that goes before those that come after it. */
-struct RoomHold {
-    WorkerRef worker;
-    Resources amount;
+/** A need for which no worker has room in a pass, whoever asks. */
+struct CrowdedNeed {
+    std::string pool;
+    std::string label; ///< Label that a worker must have; empty for none.
+    Resources need;
+};
+
+/** Workers of a pool that take tasks in a pass. */
+struct PassPool {
+    std::string name;
+    std::vector<WorkerRef> workers;
+};
+
+/** One pass over the groups that wait. */
+struct PlacementPass {
+    std::uint64_t number = 0;
+    std::vector<PassPool> pools;
+    std::vector<CrowdedNeed> crowded;
+    std::uint32_t gathered = 0; ///< Workers kept free so far so that room gathers there for a large task.
 };
 
 /** All work in hand. Empty on daemons that are not the owner. */
@@ -139,7 +154,7 @@
     std::vector<GroupRef> waiting; ///< Groups with tasks that wait, in no order.
     std::vector<OccurrenceRef> dirty; ///< Occurrences whose progress is to be written.
     std::vector<std::pair<JobRef, std::uint32_t>> upcoming; ///< Jobs with their next occurrence that is not open.
-    std::vector<RoomHold> holds; ///< Of the pass under way.
+    PlacementPass pass; ///< The one under way or the last one.
     MonotonicTime passAt{}; ///< No pass over what waits before this.
     MonotonicTime fullPassAt{}; ///< A pass is due then although nothing has changed.
     bool changed = false; ///< Something may be placed that could not be before.
--- a/src/dispatch/worker_base.h
+++ b/src/dispatch/worker_base.h
@@ -27,6 +27,8 @@
 /** What its runs take. */
 struct WorkerRoom {
     Resources used;
+    Resources kept; ///< Kept free in the pass below for groups that go first.
+    std::uint64_t keptInPass = 0;
     std::uint32_t serving = 0; ///< Runs with a bound on their response times.
     std::uint32_t filling = 0; ///< Runs that take what others leave.
     std::vector<RunRef> runs;
--- a/tests/dispatch_latency_test.cpp
+++ b/tests/dispatch_latency_test.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(tellsAStateAsKnownWhileTheStoreIsSilent);
     CPPUNIT_TEST(asksAboutTheNextStepBeforeItOpens);
     CPPUNIT_TEST(keepsARelayForShortQuestionsWhenOthersFail);
+    CPPUNIT_TEST(asksAgainAfterAQuestionThatFailed);
+    CPPUNIT_TEST(keepsRoomNoLongerThanAPass);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -90,6 +92,39 @@
         assertKept(world);
     }
 
+    void asksAgainAfterAQuestionThatFailed()
+    {
+        DispatchWorld world(3, 2);
+        requireAdvice(world, 10);
+        world.run(settling);
+        world.questionsToFail = 1;
+        world.submit(0, 1, jobOf({plainStep(1)}));
+        world.run(Milliseconds{1'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
+        assertKept(world);
+    }
+
+    /** Room that was kept for tasks that wait stood in the way when their tickets were to be renewed. */
+    void keepsRoomNoLongerThanAPass()
+    {
+        DispatchWorld world(1, 2);
+        world.run(settling);
+        auto large = plainStep(1);
+        large.perTask = {4'000, 1'024, 0};
+        for (JobId job = 1; job <= 6; ++job) {
+            world.scripts[{job, 0, 0, 0}] = {{Milliseconds{5'000}, RunEnd::Done}};
+            world.submit(0, job, jobOf({large}));
+        }
+        world.run(Milliseconds{1'500});
+        auto &entry = world.entry(0);
+        CPPUNIT_ASSERT(!entry.work.waiting.empty());
+        CPPUNIT_ASSERT(entry.work.pass.gathered > 0);
+        entry.workers.table.forEach([&](WorkerRef worker) {
+            CPPUNIT_ASSERT(entry.workers.table.get<WorkerRoom>(worker).keptInPass < entry.work.pass.number);
+        });
+        assertKept(world);
+    }
+
 private:
     /**
      * Has a job of 300 ms run that a follower knows of, and makes that follower read the journal no more unasked.
--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -183,7 +183,8 @@
     {
         AdviceAnswer answer;
         answer.number = question.number;
-        answer.failed = false;
+        answer.failed = m_world.questionsToFail > 0;
+        m_world.questionsToFail -= answer.failed ? 1 : 0;
         answer.askedAt = now();
         for (const auto &it : question.workers) {
             if (!m_world.notAdvised.contains(it)) {
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -113,6 +113,7 @@
     std::set<std::string> notAdvised; ///< Workers that the policy service refuses.
     std::map<dispatch::JobId, Milliseconds>
         adviceTimes; ///< Time of the policy service for a job; 20 ms when not named.
+    std::size_t questionsToFail = 0; ///< So many of the next questions to the policy service are not answered.
     std::map<std::pair<dispatch::JobId, std::uint32_t>, Milliseconds> askedAt; ///< First question of a job's step.
     std::size_t recordsPerRead = std::numeric_limits<std::size_t>::max(); ///< Most that a read of the journal brings.
     Milliseconds storeDelay{0}; ///< Added to the answers of all appends.
