Keep the number of a placed run, count ends of runs given up, let small owners make way

The next owner found no run of that number there, took note of the end of the true one without counting it, and started the task again. While the store was slow, 33 daemons claimed at once and stood in line.

Change: progress names the placed run's own number; the end of a run that is not in hand counts when it is done; an owner whose view is older than 2 s places and starts nothing; an owner gives up for a host with twice its processor or more, and such a host claims 300 ms later; claims leave four times as long between them while the store is slow, and no longer all come 600 ms after the first. The tests of the adapter take other ports when one was taken meanwhile (seen once: a daemon of the test did not start).

--- a/src/dispatch/entry.cpp
+++ b/src/dispatch/entry.cpp
@@ -8,6 +8,7 @@
 namespace
 {
 
+constexpr Milliseconds viewLimit{2'000}; ///< An owner whose view of the journal is older starts nothing.
 constexpr Milliseconds leaseMargin{400}; ///< For clocks of workers that run slow, and for ticks that come late.
 
 } // namespace
@@ -36,6 +37,11 @@
     return entry.isOwner() && time.now - entry.ownership.contactAt < entry.settings.isolationLimit;
 }
 
+bool mayStart(const Entry &entry, const TickTime &time)
+{
+    return mayOrder(entry, time) && time.now - entry.journal.asOf < viewLimit;
+}
+
 void resign(Entry &entry, std::string_view cause)
 {
     auto &ownership = entry.ownership;
--- a/src/dispatch/entry_func.h
+++ b/src/dispatch/entry_func.h
@@ -24,6 +24,9 @@
 /** Tells whether the owner may start runs and renew leases: it has written lately, so nobody else owns. */
 bool mayOrder(const Entry &entry, const TickTime &time);
 
+/** Tells whether the owner may place and start: besides, it has read lately what callers asked for and took back. */
+bool mayStart(const Entry &entry, const TickTime &time);
+
 /** Gives ownership up in this daemon's eyes: forgets all work in hand. */
 void resign(Entry &entry, std::string_view cause);
 
--- a/src/dispatch/systems/order.cpp
+++ b/src/dispatch/systems/order.cpp
@@ -247,9 +247,9 @@
     if (!entry.isOwner()) {
         return;
     }
-    const bool mayStart = mayOrder(entry, time);
+    const bool isAllowed = mayStart(entry, time);
     entry.work.runs.forEach([&](RunRef run) {
-        if (mayStart || entry.work.runs.get<RunState>(run).phase == RunPhase::Stopping) {
+        if (isAllowed || entry.work.runs.get<RunState>(run).phase == RunPhase::Stopping) {
             orderRun(entry, run, time);
         }
     });
--- a/src/dispatch/systems/ownership.cpp
+++ b/src/dispatch/systems/ownership.cpp
@@ -11,9 +11,14 @@
 namespace
 {
 
-constexpr Milliseconds longestStagger{600};
+constexpr int slowStagger = 4; ///< Claims stand in line at a slow store, so daemons leave more time between them.
 constexpr Milliseconds readLag{700}; ///< The journal must have been read this lately for silence to mean anything.
 constexpr int slowFactor = 2; ///< Silence counts for less while the store answers slowly.
+constexpr std::uint32_t largerFactor = 2; ///< A host with so many times the processor decides rather than this one.
+constexpr Milliseconds smallStagger{300}; ///< Such a host leaves the larger ones time to read that nobody decides.
+constexpr Milliseconds yieldTime{2'000}; ///< For a larger host to be back, and for the work to be in hand.
+constexpr Milliseconds yieldInterval{15'000}; ///< Between two tries: the larger hosts may be out of reach.
+constexpr Milliseconds yieldBackoff{1'500}; ///< For the larger hosts to read that they may claim.
 constexpr std::uint64_t firstSequences = 1'000'000'007; ///< Claims of two daemons under one token differ in these.
 
 /** Order of a daemon among those that claim after a token: larger hosts first, else it differs from token to token. */
@@ -37,6 +42,15 @@
     return rank;
 }
 
+/** Tells whether a daemon is known whose host is so much larger that it decides rather than this one. */
+bool isSmall(const Entry &entry)
+{
+    const auto own = processorMilli(entry.settings);
+    return own > 0 && std::ranges::any_of(entry.ownership.daemons, [own](const auto &it) {
+               return it.second.processorMilli >= largerFactor * own;
+           });
+}
+
 /** Tells whether the owner of the newest claim is certainly no more: it gave up, or has started again since. */
 bool isOwnerGone(const Entry &entry)
 {
@@ -57,11 +71,12 @@
         || time.now - journal.asOf > readLag + entry.settings.journalWait || time.now < ownership.backoffUntil) {
         return false;
     }
-    const auto stagger = std::min<Milliseconds>(
-        entry.settings.claimStagger * static_cast<std::int64_t>(rankAfter(entry, ownership.newest.token)),
-        longestStagger);
+    const bool isSlow = time.now < journal.slowUntil;
+    const auto stagger = entry.settings.claimStagger * (isSlow ? slowStagger : 1)
+            * static_cast<std::int64_t>(rankAfter(entry, ownership.newest.token))
+        + (isSmall(entry) ? smallStagger : Milliseconds::zero());
     const auto quietSince = std::max(ownership.ownerWroteAt, journal.readingSince);
-    const auto silence = entry.settings.ownerTimeout * (time.now < journal.slowUntil ? slowFactor : 1);
+    const auto silence = entry.settings.ownerTimeout * (isSlow ? slowFactor : 1);
     const auto dueAt = quietSince + stagger + (isOwnerGone(entry) ? Milliseconds{0} : silence);
     entry.wakeBy(dueAt);
     return time.now >= dueAt && (isOwnerGone(entry) || journal.readAt >= quietSince + silence);
@@ -89,6 +104,20 @@
          (time.now - ownership.ownerWroteAt).count());
 }
 
+/** Tells whether this owner is to make way for a larger host, and notes the next time to ask. */
+bool isYieldDue(Entry &entry, const TickTime &time)
+{
+    auto &ownership = entry.ownership;
+    const bool isCalm = time.now >= entry.journal.slowUntil && entry.journal.failures == 0;
+    const auto dueAt = std::max(ownership.claimedAt + yieldTime, ownership.yieldAfter);
+    if (!isSmall(entry) || !isCalm || time.now < dueAt) {
+        return false;
+    }
+    ownership.yieldAfter = time.now + yieldInterval;
+    ownership.backoffUntil = time.now + yieldBackoff;
+    return true;
+}
+
 void beat(Entry &entry, const TickTime &time)
 {
     auto &writer = entry.writer(JournalWriter::Owner);
@@ -119,7 +148,7 @@
         }
         break;
     case OwnerPhase::Owner:
-        if (entry.phase == EntryPhase::Draining) {
+        if (entry.phase == EntryPhase::Draining || isYieldDue(entry, time)) {
             write(entry, JournalWriter::Owner, ClaimRecord{{}, 0, ownership.token});
             ownership.phase = OwnerPhase::Releasing;
             break;
--- a/src/dispatch/systems/placement.cpp
+++ b/src/dispatch/systems/placement.cpp
@@ -142,7 +142,7 @@
 void placementSystem(Entry &entry, const TickTime &time)
 {
     entry.advice.wanted.clear();
-    if (!mayOrder(entry, time)) {
+    if (!mayStart(entry, time)) {
         return;
     }
     const auto &writer = entry.writer(JournalWriter::Owner);
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -159,6 +159,8 @@
         if (const auto run = findRun(entry, answer.worker, row.task, row.run); run.isSet()) {
             noteOutcome(entry, answer.worker, row.how, time);
             endRun(entry, run, row.how, row.checkpoint, time);
+        } else if (row.how == RunEnd::Done) {
+            endUnknownRun(entry, row.task, time);
         }
         auto &link = entry.workers.table.get<WorkerLink>(answer.worker);
         link.endsSeen = row.number;
--- a/src/dispatch/work.cpp
+++ b/src/dispatch/work.cpp
@@ -310,8 +310,9 @@
             const auto &it = work.tasks.get<TaskState>(task);
             TaskProgress row{it.phase, it.failures, it.lastRun, {}, it.checkpoint};
             if (it.run.isSet() && it.phase == TaskPhase::Placed) {
-                const auto worker = work.runs.get<RunIdentity>(it.run).worker;
-                row.worker = entry.workers.table.get<WorkerIdentity>(worker).id;
+                const auto &run = work.runs.get<RunIdentity>(it.run);
+                row.worker = entry.workers.table.get<WorkerIdentity>(run.worker).id;
+                row.run = run.number; // the task's last number may have skipped some since
             }
             record.tasks.push_back(std::move(row));
         }
--- a/src/dispatch/work_end.cpp
+++ b/src/dispatch/work_end.cpp
@@ -58,6 +58,10 @@
     auto &work = entry.work;
     auto &state = work.tasks.get<TaskState>(task);
     const auto occurrence = occurrenceOf(work, task);
+    if (state.phase == TaskPhase::Done) {
+        markDirty(work, occurrence);
+        return;
+    }
     const bool isClosed = work.occurrences.get<OccurrenceWork>(occurrence).closed;
     state.phase = isClosed ? TaskPhase::Dropped : TaskPhase::Waiting;
     markDirty(work, occurrence);
@@ -130,6 +134,43 @@
     }
 }
 
+/** Completes the tasks of a gang, one of whose members was done, and stops what still runs of it. */
+void completeGang(Entry &entry, GroupRef group, const TickTime &time)
+{
+    const auto tasks = entry.work.groups.get<GroupState>(group).tasks;
+    for (const auto it : tasks) {
+        completeTask(entry, it, time);
+    }
+    for (const auto it : tasks) {
+        if (const auto run = entry.work.tasks.get<TaskState>(it).run; run.isSet()) {
+            stopRun(entry, run, time);
+        }
+    }
+}
+
+/** Task of a name; unset when it is not in hand. */
+TaskRef findTask(const Entry &entry, const TaskName &name)
+{
+    const auto &work = entry.work;
+    const auto job = entry.jobs.byId.find(name.job);
+    const auto list = job == entry.jobs.byId.end() ? work.byJob.end() : work.byJob.find(job->second);
+    if (list == work.byJob.end()) {
+        return {};
+    }
+    const auto it = std::ranges::find_if(list->second, [&](OccurrenceRef occurrence) {
+        return work.occurrences.get<OccurrenceIdentity>(occurrence).number == name.occurrence;
+    });
+    if (it == list->second.end()) {
+        return {};
+    }
+    const auto &groups = work.occurrences.get<OccurrenceWork>(*it).groups;
+    if (name.step >= groups.size()) {
+        return {};
+    }
+    const auto &tasks = work.groups.get<GroupState>(groups[name.step]).tasks;
+    return name.index < tasks.size() ? tasks[name.index] : TaskRef{};
+}
+
 /** Ends one member of a gang: the others end with it. */
 void endMember(Entry &entry, TaskRef task, RunEnd how, RunNumber number, const TickTime &time)
 {
@@ -140,9 +181,7 @@
         countGangFailure(entry, group, number, time);
     }
     if (how == RunEnd::Done) {
-        for (const auto it : tasks) {
-            completeTask(entry, it, time);
-        }
+        completeGang(entry, group, time);
     }
     for (const auto it : tasks) {
         if (const auto run = work.tasks.get<TaskState>(it).run; run.isSet()) {
@@ -187,6 +226,35 @@
     }
 }
 
+void endUnknownRun(Entry &entry, const TaskName &name, const TickTime &time)
+{
+    const auto task = findTask(entry, name);
+    if (!task.isSet() || entry.work.tasks.get<TaskState>(task).phase == TaskPhase::Done) {
+        return;
+    }
+    const auto group = entry.work.tasks.get<TaskIdentity>(task).group;
+    const auto &step = stepOf(entry, group);
+    const auto occurrence = occurrenceOf(entry.work, task);
+    if (step.endless || entry.work.occurrences.get<OccurrenceWork>(occurrence).closed) {
+        return;
+    }
+    note(entry,
+         EventKind::RunEnded,
+         name.job,
+         "task={}.{}.{} how=done known=false",
+         name.occurrence,
+         name.step,
+         name.index);
+    if (step.gang) {
+        completeGang(entry, group, time);
+        return;
+    }
+    completeTask(entry, task, time);
+    if (const auto run = entry.work.tasks.get<TaskState>(task).run; run.isSet()) {
+        stopRun(entry, run, time);
+    }
+}
+
 void forgetRun(Entry &entry, RunRef run, const TickTime &time)
 {
     const auto identity = entry.work.runs.get<RunIdentity>(run);
--- a/src/dispatch/work_func.h
+++ b/src/dispatch/work_func.h
@@ -46,6 +46,9 @@
 /** A run has ended as its worker, or the end of its lease, says. */
 void endRun(Entry &entry, RunRef run, RunEnd how, const std::string &checkpoint, const TickTime &time);
 
+/** A run that is not in hand, as it was given up or an earlier owner's, has ended well: its task is done. */
+void endUnknownRun(Entry &entry, const TaskName &name, const TickTime &time);
+
 /** A run certainly never began and never will. */
 void forgetRun(Entry &entry, RunRef run, const TickTime &time);
 
--- a/tests/dispatch_failure_test.cpp
+++ b/tests/dispatch_failure_test.cpp
@@ -1,5 +1,6 @@
 /** @file dispatch_failure_test.cpp Entry daemons that dispatch through the store while daemons, store and workers fail.
  */
+#include "dispatch/work_func.h"
 #include "fakes/dispatch_world.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -32,6 +33,10 @@
     CPPUNIT_TEST(renewsTicketsThatExpireBeforeTheirPlacementIsStored);
     CPPUNIT_TEST(waitsNoLongerThanALeaseOnceTheFormerOwnerHasResigned);
     CPPUNIT_TEST(deniesNoJobBeforeItHasReadAll);
+    CPPUNIT_TEST(writesTheNumberOfTheRunThatIsPlaced);
+    CPPUNIT_TEST(takesTheEndOfARunThatWasGivenUp);
+    CPPUNIT_TEST(startsNothingOnAnOldView);
+    CPPUNIT_TEST(aSmallHostMakesWayForALargerOne);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -284,6 +289,90 @@
         CPPUNIT_ASSERT(!world.answerOf(handle) || world.answerOf(handle)->result != CallResult::UnknownJob);
         assertKept(world);
     }
+
+    /**
+     * After a repeated start had been rejected, the journal named a later number than that of the run. The next owner
+     * found no such run on the worker, took no note of its end, and started the task again.
+     */
+    void writesTheNumberOfTheRunThatIsPlaced()
+    {
+        DispatchWorld world(1, 1);
+        world.run(settling);
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{5'000}, RunEnd::Done}};
+        world.submit(0, 1, jobOf({plainStep(1)}));
+        world.run(Milliseconds{500});
+        auto &entry = world.entry(0);
+        const auto run = entry.work.runByTask.at({1, 0, 0, 0});
+        const auto task = entry.work.runs.get<RunIdentity>(run).task;
+        entry.work.tasks.get<TaskState>(task).lastRun += 16;
+        const auto group = entry.work.tasks.get<TaskIdentity>(task).group;
+        const auto record = progressOf(entry, entry.work.groups.get<GroupIdentity>(group).occurrence);
+        CPPUNIT_ASSERT_EQUAL(entry.work.runs.get<RunIdentity>(run).number, record.tasks[0].run);
+    }
+
+    void takesTheEndOfARunThatWasGivenUp()
+    {
+        DispatchWorld world(1, 1);
+        world.run(settling);
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{400}, RunEnd::Done}};
+        world.submit(0, 1, jobOf({plainStep(1)}));
+        world.run(Milliseconds{200});
+        world.linkModes[0] = LinkMode::Cut;
+        world.run(Milliseconds{100});
+        auto &entry = world.entry(0);
+        const auto run = entry.work.runByTask.at({1, 0, 0, 0});
+        const auto task = entry.work.runs.get<RunIdentity>(run).task;
+        const TickTime time{MonotonicTime{world.now()}, {}};
+        forgetRun(entry, run, time);
+        entry.work.tasks.get<TaskState>(task).readyAt = MonotonicTime{world.now() + Milliseconds{5'000}};
+        world.run(Milliseconds{1'000});
+        world.linkModes[0] = LinkMode::Up;
+        world.run(Milliseconds{8'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
+        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Completed);
+        assertKept(world);
+    }
+
+    /** An owner that lagged behind the journal started a task whose job had been cancelled seconds before. */
+    void startsNothingOnAnOldView()
+    {
+        DispatchWorld world(3, 1);
+        world.run(settling);
+        const auto owner = world.owner().value();
+        const auto other = (owner + 1) % 3;
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{4'000}, RunEnd::Done}};
+        world.submit(other, 1, jobOf({plainStep(1), plainStep(1, {0})}));
+        world.run(Milliseconds{500});
+        world.recordsPerRead = 0;
+        world.run(Milliseconds{100});
+        const auto handle = world.call(other, CallVerb::Cancel, 1);
+        world.run(Milliseconds{6'000});
+        CPPUNIT_ASSERT(world.answerOf(handle)->result == CallResult::Done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.startsOf({1, 0, 1, 0}));
+        assertKept(world);
+    }
+
+    /** A host with an eighth of a core decided for the rest of the day once it had taken over. */
+    void aSmallHostMakesWayForALargerOne()
+    {
+        DispatchWorld world(3, 2);
+        world.entry(0).settings.processorShare = "0.12";
+        world.entry(1).settings.processorShare = "0.12";
+        world.entry(2).settings.processorShare = "0.5";
+        world.run(Milliseconds{5'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.owner().value());
+        world.freeze(2, Milliseconds{3'000});
+        world.run(Milliseconds{2'500});
+        CPPUNIT_ASSERT(world.entry(0).isOwner() || world.entry(1).isOwner());
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{6'000}, RunEnd::Done}};
+        world.submit(0, 1, jobOf({plainStep(1)}));
+        world.run(Milliseconds{5'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.owner().value());
+        world.run(Milliseconds{5'000});
+        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
+        assertKept(world);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchFailureTest);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -28,7 +28,7 @@
     {"count":3,"cpu":500,"memMb":256,"estRuntimeMs":100},
     {"count":2,"cpu":1000,"memMb":256,"estRuntimeMs":100,"dependsOn":[0]}]})";
 
-/** A free port of loopback; another process may take it before it is used. */
+/** A port of loopback that was free a moment ago: a connection of the tests themselves may take it meanwhile. */
 std::string freeAddress(boost::asio::io_context &io)
 {
     boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
@@ -41,22 +41,34 @@
     {
         standin.put("keyed.op", "config", configText);
         for (const char *name : {"d0", "d1"}) {
-            EntrySettings settings;
-            settings.name = name;
-            settings.frontAddress = freeAddress(io);
-            settings.readyAddress = freeAddress(io);
-            settings.peerAddress = freeAddress(io);
-            settings.metricsAddress = freeAddress(io);
-            settings.storeAddress = standin.storeAddress();
-            settings.adviceAddress = standin.adviceAddress();
-            settings.logLevel = LogLevel::Error;
-            fronts.push_back(settings.frontAddress);
-            metrics.push_back(settings.metricsAddress);
-            daemons.push_back(std::make_unique<platform::EntryDaemon>(io, settings, [] {}));
-            CPPUNIT_ASSERT(daemons.back()->start().ok());
+            while (!startDaemon(name)) {
+                CPPUNIT_ASSERT(++takenPorts < 10);
+            }
         }
     }
 
+    /** Starts a daemon; false when one of its ports was taken meanwhile. */
+    bool startDaemon(const std::string &name)
+    {
+        EntrySettings settings;
+        settings.name = name;
+        settings.frontAddress = freeAddress(io);
+        settings.readyAddress = freeAddress(io);
+        settings.peerAddress = freeAddress(io);
+        settings.metricsAddress = freeAddress(io);
+        settings.storeAddress = standin.storeAddress();
+        settings.adviceAddress = standin.adviceAddress();
+        settings.logLevel = LogLevel::Error;
+        auto daemon = std::make_unique<platform::EntryDaemon>(io, settings, [] {});
+        if (!daemon->start().ok()) {
+            return false;
+        }
+        fronts.push_back(settings.frontAddress);
+        metrics.push_back(settings.metricsAddress);
+        daemons.push_back(std::move(daemon));
+        return true;
+    }
+
     HttpResponse call(std::size_t daemon, HttpMethod method, const std::string &path, const std::string &body = {})
     {
         HttpCall it;
@@ -102,6 +114,7 @@
     std::vector<std::string> metrics;
     std::vector<std::unique_ptr<platform::EntryDaemon>> daemons;
     std::string key = "red key";
+    int takenPorts = 0;
 };
 
 constexpr const char *jobPath = "/q/00000000000000a1";
