Join log lines into the story of a job: flamingoctl trace

Following a job meant to search its id in every daemon's log and to order what came by hand; changes of owner and lost workers, which explain most late jobs, bear no id of a job. The command reads the files, takes the job's lines, changes of owner, and what befell its daemons and workers meanwhile; acceptance comes first whatever the clocks say.

--- a/apps/flamingoctl/commands.h
+++ b/apps/flamingoctl/commands.h
@@ -18,6 +18,7 @@
 ExitCode watch(Session &session, const Arguments &arguments);
 ExitCode explain(Session &session, const Arguments &arguments);
 ExitCode listJobs(Session &session, const Arguments &arguments);
+ExitCode traceJob(Session &session, const Arguments &arguments);
 
 ExitCode publishProfile(Session &session, const Arguments &arguments);
 ExitCode showProfile(Session &session, const Arguments &arguments);
--- a/apps/flamingoctl/main.cpp
+++ b/apps/flamingoctl/main.cpp
@@ -64,8 +64,9 @@
     }
     const auto &[row, arguments] = *invocation;
     const bool isOptional = row->arguments.starts_with('[');
+    const bool takesMore = row->arguments.ends_with("...");
     const auto most = isOptional ? std::size_t{1} : row->argumentCount;
-    if (arguments.size() < row->argumentCount || arguments.size() > most) {
+    if (arguments.size() < row->argumentCount || (arguments.size() > most && !takesMore)) {
         fmt::print(stderr, "flamingoctl: usage: flamingoctl {} {}\n", row->name, row->arguments);
         return ExitCode::Usage;
     }
--- /dev/null
+++ b/apps/flamingoctl/trace_command.cpp
@@ -0,0 +1,66 @@
+#include "commands.h"
+#include "dispatch/net/event_story.h"
+
+#include <fmt/format.h>
+
+#include <charconv>
+#include <fstream>
+
+namespace flamingotally
+{
+
+namespace
+{
+
+constexpr int hexadecimal = 16;
+
+/** Id of a job as 16 hexadecimal digits; unset when the text is none. */
+std::optional<dispatch::JobId> jobIdOf(const std::string &text)
+{
+    dispatch::JobId id = 0;
+    const auto *end = text.data() + text.size();
+    const auto [rest, ec] = std::from_chars(text.data(), end, id, hexadecimal);
+    return ec == std::errc{} && rest == end && id != 0 ? std::optional(id) : std::nullopt;
+}
+
+void printStory(const std::vector<StoryLine> &story)
+{
+    const auto begin = story.front().timeMs;
+    for (const auto &it : story) {
+        fmt::print("{:>+8} ms  {:<20} {:<18} {}\n",
+                   it.timeMs - begin,
+                   it.daemon,
+                   nameOf(dispatch::eventKindTable, it.kind),
+                   it.fields);
+    }
+}
+
+} // namespace
+
+ExitCode traceJob(Session & /*session*/, const Arguments &arguments)
+{
+    const auto id = jobIdOf(arguments.front());
+    if (!id) {
+        fmt::print(stderr, "flamingoctl: '{}' is no job id of hexadecimal digits\n", arguments.front());
+        return ExitCode::Usage;
+    }
+    std::vector<StoryLine> lines;
+    for (std::size_t n = 1; n < arguments.size(); ++n) {
+        std::ifstream file(arguments[n]);
+        if (!file) {
+            fmt::print(stderr, "flamingoctl: cannot read '{}'\n", arguments[n]);
+            return ExitCode::Usage;
+        }
+        auto more = readStoryLines(file);
+        lines.insert(lines.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+    }
+    const auto story = storyOf(lines, *id);
+    if (story.empty()) {
+        fmt::print(stderr, "flamingoctl: no line names job {}\n", arguments.front());
+        return ExitCode::NotFound;
+    }
+    printStory(story);
+    return ExitCode::Ok;
+}
+
+} // namespace flamingotally
