--- a/src/dispatch/codec/progress_columns.h
+++ b/src/dispatch/codec/progress_columns.h
@@ -1,6 +1,6 @@
 /**
- * @file progress_columns.h How a ProgressRecord is stored: a byte a task, and rows for those only that are placed, were
- * tried more than once, or have saved progress. Progress is written anew with each change, so its length is what the
+ * @file progress_columns.h How a ProgressRecord is stored: a byte a task, and rows for those only that are placed, have
+ * run more than once, or have saved progress. Progress is written anew with each change, so its length is what the
  * journal costs.
  */
 #pragma once
