Do not pass ownership around among small hosts when the larger ones are gone

Cause, from reading the change once more: a small owner made way 2 s after its claim as long as a larger host was known, also when a release shortly before had shown that none of them claims; with all of them gone for good, ownership would have moved every few seconds. Change: an owner that came after a release makes way after 15 s. The test failed before.

--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -102,7 +102,6 @@
     MonotonicTime contactAt{}; ///< While owner: when the last batch that was stored had been sent.
     Token resigned = 0; ///< Highest own token that was given up.
     MonotonicTime backoffUntil{}; ///< No claim before this.
-    MonotonicTime yieldAfter{}; ///< While owner on a small host: it gives up for a larger one, but not before this.
     std::map<std::string, DaemonRecord> daemons; ///< By name.
 };
 
--- a/src/dispatch/systems/ownership.cpp
+++ b/src/dispatch/systems/ownership.cpp
@@ -17,7 +17,8 @@
 constexpr std::uint32_t largerFactor = 2; ///< A host with so many times the processor decides rather than this one.
 constexpr Milliseconds smallStagger{300}; ///< Such a host leaves the larger ones time to read that nobody decides.
 constexpr Milliseconds yieldTime{2'000}; ///< For a larger host to be back, and for the work to be in hand.
-constexpr Milliseconds yieldInterval{15'000}; ///< Between two tries: the larger hosts may be out of reach.
+constexpr Milliseconds yieldInterval{
+    15'000}; ///< For an owner that came after a release: the larger hosts may be out of reach.
 constexpr Milliseconds yieldBackoff{1'500}; ///< For the larger hosts to read that they may claim.
 constexpr std::uint64_t firstSequences = 1'000'000'007; ///< Claims of two daemons under one token differ in these.
 
@@ -104,16 +105,19 @@
          (time.now - ownership.ownerWroteAt).count());
 }
 
-/** Tells whether this owner is to make way for a larger host, and notes the next time to ask. */
+/**
+ * Tells whether this owner is to make way for a larger host. One that came after a release makes way later: the larger
+ * hosts could have claimed and did not.
+ */
 bool isYieldDue(Entry &entry, const TickTime &time)
 {
     auto &ownership = entry.ownership;
     const bool isCalm = time.now >= entry.journal.slowUntil && entry.journal.failures == 0;
-    const auto dueAt = std::max(ownership.claimedAt + yieldTime, ownership.yieldAfter);
+    const bool isAfterRelease = ownership.former.owner.empty() && ownership.former.token > 0;
+    const auto dueAt = ownership.claimedAt + (isAfterRelease ? yieldInterval : yieldTime);
     if (!isSmall(entry) || !isCalm || time.now < dueAt) {
         return false;
     }
-    ownership.yieldAfter = time.now + yieldInterval;
     ownership.backoffUntil = time.now + yieldBackoff;
     return true;
 }
--- a/tests/dispatch_failure_test.cpp
+++ b/tests/dispatch_failure_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(takesTheEndOfARunThatWasGivenUp);
     CPPUNIT_TEST(startsNothingOnAnOldView);
     CPPUNIT_TEST(aSmallHostMakesWayForALargerOne);
+    CPPUNIT_TEST(smallHostsDoNotPassOwnershipAroundWhenTheLargerOnesAreGone);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -373,6 +374,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
         assertKept(world);
     }
+
+    void smallHostsDoNotPassOwnershipAroundWhenTheLargerOnesAreGone()
+    {
+        DispatchWorld world(4, 1);
+        for (std::size_t n = 0; n < 3; ++n) {
+            world.entry(n).settings.processorShare = "0.12";
+        }
+        world.entry(3).settings.processorShare = "0.5";
+        world.run(Milliseconds{5'000});
+        world.kill(3);
+        world.run(Milliseconds{8'000});
+        const auto owner = world.owner();
+        CPPUNIT_ASSERT(owner.has_value());
+        const auto token = world.entry(owner.value()).ownership.token;
+        world.run(Milliseconds{6'000});
+        CPPUNIT_ASSERT(world.owner() == owner);
+        CPPUNIT_ASSERT_EQUAL(token, world.entry(owner.value()).ownership.token);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchFailureTest);
--- /dev/null
+++ b/tests/fakes/world_ports.cpp
@@ -0,0 +1,238 @@
+#include "fakes/world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingotally::fakes
+{
+
+namespace
+{
+
+constexpr Milliseconds exchangeTimeout{2'000}; ///< After which a client gives up on a silent platform or peer.
+
+} // namespace
+
+MonotonicTime DaemonPorts::now() const
+{
+    return MonotonicTime{m_world.now() + m_world.daemons[m_daemon].clockOffset};
+}
+
+WallTime DaemonPorts::wallNow() const
+{
+    return m_world.wallNow();
+}
+
+void DaemonPorts::append(const Batch &batch)
+{
+    ++m_world.daemons[m_daemon].messages;
+    auto &world = m_world;
+    const auto daemon = m_daemon;
+    const auto life = world.daemons[daemon].life;
+    world.send(daemon, [&world, daemon, life, batch] {
+        const auto domain = world.daemons[daemon].domain;
+        const auto answered = std::make_shared<bool>(false);
+        const auto answer = [&world, daemon, life, answered, sequence = batch.sequence](AppendOutcome outcome) {
+            if (std::exchange(*answered, true) && outcome == AppendOutcome::Unknown) {
+                return;
+            }
+            world.deliver(daemon, life, [=](Node &node, MonotonicTime) {
+                node.inbox.appendAnswers.push_back({sequence, outcome});
+            });
+        };
+        world.queue.after(world.daemons[daemon].settings.appendTimeout, [answer] { answer(AppendOutcome::Unknown); });
+        if (world.isCut(domain, world.platform()) || world.log.faults.mode == LogMode::Silent) {
+            return;
+        }
+        if (world.log.faults.mode == LogMode::Refusing || world.chance(world.log.faults.refusal)) {
+            world.queue.after(world.linkDelay(), [answer] { answer(AppendOutcome::Refused); });
+            return;
+        }
+        world.queue.after(world.linkDelay() + world.log.faults.appendLatency, [&world, domain, answer, batch] {
+            if (world.log.faults.mode != LogMode::Up) {
+                return;
+            }
+            world.log.store(batch);
+            if (!world.chance(world.log.faults.answerLoss) && !world.isCut(domain, world.platform())) {
+                world.queue.after(world.linkDelay(), [answer] { answer(AppendOutcome::Stored); });
+            }
+        });
+    });
+}
+
+void DaemonPorts::readFrom(std::uint64_t offset)
+{
+    ++m_world.daemons[m_daemon].messages;
+    auto &world = m_world;
+    const auto daemon = m_daemon;
+    const auto life = world.daemons[daemon].life;
+    const auto askedAt = now();
+    world.send(daemon, [&world, daemon, life, askedAt, offset] {
+        const auto domain = world.daemons[daemon].domain;
+        const auto wait = world.daemons[daemon].settings.logPoll;
+        const auto answer = [&world, daemon, life, askedAt, done = std::make_shared<bool>(false)](LogRead read) {
+            if (!std::exchange(*done, true)) {
+                read.askedAt = askedAt;
+                world.deliver(daemon, life, [read = std::move(read)](Node &node, MonotonicTime) {
+                    node.inbox.logReads.push_back(read);
+                });
+            }
+        };
+        LogRead failed;
+        failed.failed = true;
+        world.queue.after(wait + exchangeTimeout, [answer, failed] { answer(failed); });
+        if (world.log.faults.mode == LogMode::Refusing) {
+            world.queue.after(world.linkDelay(), [answer, failed] { answer(failed); });
+        }
+        if (world.isCut(domain, world.platform()) || world.log.faults.mode != LogMode::Up) {
+            return;
+        }
+        world.queue.after(world.linkDelay(), [&world, domain, wait, offset, answer] {
+            world.log.read(offset, wait, [&world, domain, answer](const LogRead &read) {
+                if (!world.isCut(domain, world.platform()) && world.log.faults.mode == LogMode::Up) {
+                    world.queue.after(world.linkDelay(), [answer, read] { answer(read); });
+                }
+            });
+        });
+    });
+}
+
+void DaemonPorts::sync(const WorkerSync &sync)
+{
+    ++m_world.daemons[m_daemon].messages;
+    auto &world = m_world;
+    const auto daemon = m_daemon;
+    const auto life = world.daemons[daemon].life;
+    const auto named = [&](const auto &it) {
+        return it->row().name == sync.worker;
+    };
+    const auto worker = static_cast<std::size_t>(std::ranges::find_if(world.workers, named) - world.workers.begin());
+    if (worker == world.workers.size()) {
+        return;
+    }
+    world.send(daemon, [&world, daemon, life, worker, sync] {
+        const auto domain = world.daemons[daemon].domain;
+        const bool waited = sync.wait > Milliseconds{0};
+        const auto answer = [&world, daemon, life, waited, done = std::make_shared<bool>(false)](WorkerReport report) {
+            if (!std::exchange(*done, true)) {
+                report.waited = waited;
+                world.deliver(daemon, life, [report = std::move(report)](Node &node, MonotonicTime receivedAt) {
+                    node.inbox.workerReports.push_back(report);
+                    node.inbox.workerReports.back().receivedAt = receivedAt;
+                });
+            }
+        };
+        WorkerReport failed;
+        failed.worker = sync.worker;
+        failed.failed = true;
+        const auto timeout = sync.wait + world.daemons[daemon].settings.workerTimeout;
+        world.queue.after(timeout, [answer, failed] { answer(failed); });
+        const auto home = world.domainOfWorker(worker);
+        if (world.isCut(domain, home)) {
+            return;
+        }
+        world.queue.after(world.linkDelay(), [&world, domain, home, worker, sync, answer] {
+            if (world.isCut(domain, home)) {
+                return;
+            }
+            world.workers[worker]->sync(sync, [&world, domain, home, answer](const WorkerReport &report) {
+                if (!world.isCut(domain, home)) {
+                    world.queue.after(world.linkDelay(), [answer, report] { answer(report); });
+                }
+            });
+        });
+    });
+}
+
+void DaemonPorts::readHosts()
+{
+    ++m_world.daemons[m_daemon].messages;
+    auto &world = m_world;
+    const auto daemon = m_daemon;
+    const auto life = world.daemons[daemon].life;
+    world.send(daemon, [&world, daemon, life] {
+        const bool failed =
+            world.isCut(world.daemons[daemon].domain, world.platform()) || world.log.faults.mode != LogMode::Up;
+        world.queue.after(failed ? exchangeTimeout : 2 * world.linkDelay(), [&world, daemon, life, failed] {
+            HostListRead read{failed ? std::vector<HostRow>{} : world.m_visibleHosts, failed};
+            world.deliver(daemon, life, [read = std::move(read)](Node &node, MonotonicTime) {
+                node.inbox.hostLists.push_back(read);
+            });
+        });
+    });
+}
+
+void DaemonPorts::sendHeartbeat(const std::string &address, const Heartbeat &heartbeat)
+{
+    ++m_world.daemons[m_daemon].messages;
+    auto &world = m_world;
+    const auto sender = m_daemon;
+    const auto listens = [&](const FakeDaemon &it) {
+        return it.settings.peerAddress == address;
+    };
+    const auto peer = static_cast<std::size_t>(std::ranges::find_if(world.daemons, listens) - world.daemons.begin());
+    if (peer == world.daemons.size()) {
+        return;
+    }
+    world.send(sender, [&world, sender, peer, heartbeat] {
+        const auto from = world.daemons[sender].domain;
+        if (world.isCut(from, world.daemons[peer].domain) || world.chance(world.network.heartbeatLoss)) {
+            return;
+        }
+        world.queue.after(world.linkDelay(), [&world, peer, heartbeat] {
+            world.deliver(peer, world.daemons[peer].life, [heartbeat](Node &node, MonotonicTime receivedAt) {
+                node.inbox.heartbeats.push_back({heartbeat, receivedAt});
+            });
+        });
+    });
+}
+
+void DaemonPorts::fetchRecords(const std::string &address, std::uint64_t offset)
+{
+    ++m_world.daemons[m_daemon].messages;
+    auto &world = m_world;
+    const auto daemon = m_daemon;
+    const auto life = world.daemons[daemon].life;
+    const auto listens = [&](const FakeDaemon &it) {
+        return it.settings.peerAddress == address;
+    };
+    const auto peer = static_cast<std::size_t>(std::ranges::find_if(world.daemons, listens) - world.daemons.begin());
+    if (peer == world.daemons.size()) {
+        return;
+    }
+    world.send(daemon, [&world, daemon, life, peer, offset] {
+        const auto answer = [&world, daemon, life](LogRead read) {
+            world.deliver(daemon, life, [read = std::move(read)](Node &node, MonotonicTime) {
+                node.inbox.peerReads.push_back(read);
+            });
+        };
+        const auto &other = world.daemons[peer];
+        const bool reached = !world.isCut(world.daemons[daemon].domain, other.domain);
+        if (!reached || other.state != ProcessState::Running) {
+            LogRead failed;
+            failed.failed = true;
+            world.queue.after(exchangeTimeout, [answer, failed] { answer(failed); });
+            return;
+        }
+        const auto read = world.log.copy(offset, other.node->tables.position.nextOffset);
+        world.queue.after(2 * world.linkDelay(), [answer, read] { answer(read); });
+    });
+}
+
+void DaemonPorts::answer(const CallerAnswer &answer)
+{
+    auto &world = m_world;
+    const auto daemon = m_daemon;
+    const auto call = static_cast<std::size_t>(answer.handle - 1);
+    auto view = world.showJob(daemon, answer.request);
+    const auto life = world.daemons[daemon].life;
+    world.send(daemon, [&world, daemon, life, call, answer, view = std::move(view)] {
+        if (world.daemons[daemon].life == life && world.daemons[daemon].openCalls.erase(call) != 0) {
+            world.journal.calls[call].answer = answer;
+            world.journal.calls[call].view = view;
+            world.finishCall(call, CallState::Answered);
+        }
+    });
+}
+
+} // namespace flamingotally::fakes
