--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -199,6 +199,7 @@
     Read, ///< Read of the journal, including the time for which the store waited for a record.
     Start, ///< Start order that a worker accepted.
     Poll, ///< Poll that a worker answered, including the time that the worker waited.
+    Tick, ///< One tick.
     End,
 };
 
@@ -220,6 +221,27 @@
     Milliseconds sum{0};
 };
 
+/** Kind of the messages between this daemon and others. */
+enum class TrafficKind : std::uint8_t {
+    Poll, ///< Polls of workers.
+    Order, ///< Orders to start and stop runs.
+    JournalRead, ///< Reads of the journal and of the other topics of the store.
+    JournalWrite, ///< Batches for the journal.
+    Advice, ///< Requests to the policy service and to the daemons that relay them.
+    End,
+};
+
+/** What the calls of one kind have sent and received. */
+struct Traffic {
+    std::uint64_t calls = 0;
+    std::uint64_t failures = 0; ///< Calls without a response.
+    std::uint64_t sentBytes = 0;
+    std::uint64_t receivedBytes = 0;
+};
+
+/** Traffic of this daemon since its start, by TrafficKind. Network code fills it. */
+using TrafficByKind = std::array<Traffic, enumSize<TrafficKind>>;
+
 /** Counters for /metrics, since the start of the process. */
 struct EntryCounters {
     std::uint64_t ticks = 0;
@@ -236,6 +258,7 @@
     std::uint64_t batches = 0; ///< Batches sent to the journal, including repeated sends.
     std::uint64_t adviceRequests = 0; ///< Requests sent to the policy service.
     std::uint64_t droppedLines = 0; ///< Log lines that were dropped because the buffer was full.
+    TrafficByKind traffic{};
 
     /** Counts one operation of the given duration. */
     void observe(LatencyKind kind, Milliseconds duration)
@@ -248,6 +271,13 @@
     std::array<std::uint64_t, enumSize<RunEnd>> ends{}; ///< Runs that have ended, by how they ended.
 };
 
+/** State of the periodic log line about this daemon's load. */
+struct LoadReport {
+    MonotonicTime dueAt{}; ///< Time of the next line.
+    TrafficByKind traffic{}; ///< Traffic at the last line.
+    Milliseconds longestTick{0}; ///< Since the last line.
+};
+
 /** Reading of the clocks; taken once for each tick. */
 struct TickTime {
     MonotonicTime now{};
@@ -270,6 +300,7 @@
     AdviceState advice;
     WallEstimate wall;
     EntryCounters counters;
+    LoadReport loadReport;
     Inbox inbox;
     Outbox outbox;
     MonotonicTime tickedAt{}; ///< Time of the last tick.
--- a/src/dispatch/event_type.h
+++ b/src/dispatch/event_type.h
@@ -39,6 +39,7 @@
     WorkerRestarted,
     AdviceFailed,
     StrayRun,
+    Load,
     End,
 };
 
@@ -75,6 +76,7 @@
     {EventKind::WorkerRestarted, "worker_reborn", LogLevel::Warning},
     {EventKind::AdviceFailed, "advice_failed", LogLevel::Warning},
     {EventKind::StrayRun, "stray_run", LogLevel::Warning},
+    {EventKind::Load, "load", LogLevel::Info},
 }};
 static_assert(isComplete(eventKindTable));
 
--- a/src/dispatch/net/entry_metrics.cpp
+++ b/src/dispatch/net/entry_metrics.cpp
@@ -127,6 +127,27 @@
     }
 }
 
+/** Adds the counters of calls and bytes to and from others, labelled by kind. */
+void addTraffic(prometheus::Registry &registry, const Entry &entry)
+{
+    auto &calls = prometheus::BuildCounter()
+                      .Name("flamingotally_peer_calls_total")
+                      .Help("Calls to the store, workers and other daemons, by kind and by whether they were answered.")
+                      .Register(registry);
+    auto &bytes = prometheus::BuildCounter()
+                      .Name("flamingotally_peer_bytes_total")
+                      .Help("Bytes of the messages of these calls, by kind and direction.")
+                      .Register(registry);
+    for (const auto &row : trafficKindTable) {
+        const auto &it = entry.counters.traffic[static_cast<std::size_t>(row.value)];
+        const std::string name(row.name);
+        calls.Add({{"kind", name}, {"answered", "no"}}).Increment(static_cast<double>(it.failures));
+        calls.Add({{"kind", name}, {"answered", "yes"}}).Increment(static_cast<double>(it.calls - it.failures));
+        bytes.Add({{"kind", name}, {"direction", "sent"}}).Increment(static_cast<double>(it.sentBytes));
+        bytes.Add({{"kind", name}, {"direction", "received"}}).Increment(static_cast<double>(it.receivedBytes));
+    }
+}
+
 /** Adds the latency histogram, labelled by kind of operation. */
 void addLatencies(prometheus::Registry &registry, const Entry &entry)
 {
@@ -163,6 +184,7 @@
     addEnds(registry, entry);
     addRejections(registry, entry);
     addLatencies(registry, entry);
+    addTraffic(registry, entry);
     addGauge(registry, "flamingotally_is_owner", "1 if this daemon is the owner, else 0.", entry.isOwner() ? 1 : 0);
     addGauge(registry,
              "flamingotally_config_age_seconds",
--- a/src/dispatch/runtime.h
+++ b/src/dispatch/runtime.h
@@ -13,7 +13,7 @@
  * Runs one tick and passes the resulting messages to the ports. Only the owner of the cell watches the worker list, so
  * that port is switched on or off after each tick. The caller has filled the inbox.
  * @param entry The daemon.
- * @param clock Its monotonic and its wall time are each read once, before the tick.
+ * @param clock Read before the tick, and after it to measure how long the tick took.
  * @param journal,list,orders,adviser,responses,events The ports. `events` counts up `droppedLines` if it drops a line.
  */
 template<Clock ClockT,
@@ -32,7 +32,11 @@
              ResponsesT &responses,
              EventsT &events)
 {
-    tick(entry, TickTime{clock.now(), clock.wallNow()});
+    const TickTime time{clock.now(), clock.wallNow()};
+    tick(entry, time);
+    const Milliseconds duration{clock.now() - time.now};
+    entry.counters.observe(LatencyKind::Tick, duration);
+    entry.loadReport.longestTick = std::max(entry.loadReport.longestTick, duration);
     const Outbox out = std::exchange(entry.outbox, Outbox{});
     if (out.readJournal) {
         journal.read(*out.readJournal);
--- a/src/dispatch/table/dispatch_table.h
+++ b/src/dispatch/table/dispatch_table.h
@@ -57,7 +57,17 @@
     {LatencyKind::Read, "read"},
     {LatencyKind::Start, "start"},
     {LatencyKind::Poll, "hold"},
+    {LatencyKind::Tick, "tick"},
 }};
 static_assert(isComplete(latencyKindTable));
 
+constexpr EnumTable<TrafficKind> trafficKindTable{{
+    {TrafficKind::Poll, "poll"},
+    {TrafficKind::Order, "order"},
+    {TrafficKind::JournalRead, "journal_read"},
+    {TrafficKind::JournalWrite, "journal_write"},
+    {TrafficKind::Advice, "advice"},
+}};
+static_assert(isComplete(trafficKindTable));
+
 } // namespace flamingotally::dispatch
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -95,6 +95,7 @@
     asio::io_context &io;
     HttpClientSettings settings;
     ConnectionTable connections;
+    TrafficByStep traffic{};
     absl::flat_hash_map<std::string, std::vector<ConnectionRef>> idle; ///< Idle connections by address.
 };
 
@@ -146,19 +147,25 @@
 
 /**
  * Sends a request on an open connection and receives the response.
+ * @param traffic Counts the bytes.
  * @param keepAlive Set to true if the connection can be reused afterwards.
  */
-awaitable<HttpResult> exchangeMessages(beast::tcp_stream &stream, HttpCall &call, bool &keepAlive)
+awaitable<HttpResult>
+exchangeMessages(beast::tcp_stream &stream, HttpCall &call, StepTraffic &traffic, bool &keepAlive)
 {
     const auto message = toMessage(call);
-    if (const auto [ec, n] = co_await http::async_write(stream, message, useTuple); ec) {
-        co_return noResponseError(call, ec);
+    const auto [writeError, sent] = co_await http::async_write(stream, message, useTuple);
+    traffic.sentBytes += sent;
+    if (writeError) {
+        co_return noResponseError(call, writeError);
     }
     http::response_parser<http::string_body> parser;
     parser.body_limit(call.maxResponseBytes);
     beast::flat_buffer buf;
-    if (const auto [ec, n] = co_await http::async_read(stream, buf, parser, useTuple); ec) {
-        co_return noResponseError(call, ec);
+    const auto [readError, received] = co_await http::async_read(stream, buf, parser, useTuple);
+    traffic.receivedBytes += received;
+    if (readError) {
+        co_return noResponseError(call, readError);
     }
     keepAlive = parser.get().keep_alive() && buf.size() == 0;
     co_return toResponse(parser.release());
@@ -183,6 +190,8 @@
 /** Makes one call; reuses an idle connection to the address if there is one. */
 awaitable<HttpResult> perform(const StatePtr &state, HttpCall &call)
 {
+    auto &traffic = state->traffic[static_cast<std::size_t>(call.step)];
+    ++traffic.calls;
     auto ref = takeIdle(*state, call.address);
     const bool isOpen = ref.isSet();
     if (!isOpen && state->connections.size() >= state->settings.maxConnections) {
@@ -196,13 +205,15 @@
     stream.expires_after(call.timeout);
     if (!isOpen) {
         if (auto status = co_await connect(stream, call); !status.ok()) {
+            ++traffic.failures;
             state->connections.erase(ref);
             co_return status;
         }
     }
     bool keepAlive = false;
-    auto result = co_await exchangeMessages(stream, call, keepAlive);
+    auto result = co_await exchangeMessages(stream, call, traffic, keepAlive);
     if (!result.ok()) {
+        ++traffic.failures;
         closeIdleConnections(*state, call.address);
     }
     if (keepAlive) {
@@ -239,6 +250,11 @@
     asio::co_spawn(m_state->io, performAndReport(m_state, std::move(call), std::move(callback)), asio::detached);
 }
 
+const TrafficByStep &HttpClient::traffic() const
+{
+    return m_state->traffic;
+}
+
 void HttpClient::close()
 {
     for (const auto &[address, refs] : std::exchange(m_state->idle, {})) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -1,8 +1,10 @@
 /** @file http_client.h An HTTP client on one io_context that reuses its connections. */
 #pragma once
 
+#include "core/enum_table.h"
 #include "net/http_type.h"
 
+#include <array>
 #include <memory>
 
 namespace boost::asio
@@ -19,6 +21,17 @@
     std::size_t maxConnections = 4'096; ///< Beyond it, a call that needs a new connection fails as never sent.
 };
 
+/** What the calls of one step have sent and received. Bytes are those of HTTP messages, without the transport's. */
+struct StepTraffic {
+    std::uint64_t calls = 0;
+    std::uint64_t failures = 0; ///< Calls without a response.
+    std::uint64_t sentBytes = 0;
+    std::uint64_t receivedBytes = 0; ///< Of complete responses only.
+};
+
+/** Traffic since the client was made, by step. */
+using TrafficByStep = std::array<StepTraffic, enumSize<Step>>;
+
 /** Makes calls to other processes. All of its code runs on the thread that runs the io_context. */
 class HttpClient
 {
@@ -38,6 +51,9 @@
     /** Closes all connections; calls in progress fail. */
     void close();
 
+    /** Returns what the calls have sent and received so far. */
+    const TrafficByStep &traffic() const;
+
     struct State;
 
 private:
