Pace orders to workers by their responses, and doubt this host's link before its workers

Change: a window for orders in flight, halved when the median of the latest 16 response times passes 100 ms and opened by one a response; time-outs of orders and polls of four medians; no placement pass while more orders wait than the window holds; polls over a congested link wait three times as long at the worker. While the link was congested of late, or most workers are silent and half of those in the own domain, leases of listed workers go on being renewed, and runs there are not given up. Tests that fail with these decisions off: startsEachRunOnceOverANarrowLink, keepsRunsOfWorkersThatOnlySeemSilent.

--- a/src/dispatch/entry.cpp
+++ b/src/dispatch/entry.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/entry_func.h"
 
+#include "dispatch/policy/order_pacing.h"
+
 #include <charconv>
 
 namespace flamingotally::dispatch
@@ -43,6 +45,14 @@
     return isCertainOwner(entry, time) && time.now - entry.journal.asOf < journalAgeLimit;
 }
 
+bool isLinkInDoubt(const Entry &entry, const TickTime &time)
+{
+    const auto &silence = entry.workers.silence;
+    const bool isWidespread =
+        silence.silent * 2 > silence.listed && silence.silentInOwnDomain * 2 >= silence.listedInOwnDomain;
+    return wasCongested(entry.workers.pacing, time.now) || isWidespread;
+}
+
 void resign(Entry &entry, std::string_view cause)
 {
     auto &ownership = entry.ownership;
--- a/src/dispatch/entry_func.h
+++ b/src/dispatch/entry_func.h
@@ -40,6 +40,12 @@
  */
 bool mayStart(const Entry &entry, const TickTime &time);
 
+/**
+ * Returns true if workers that seem silent may only seem so, because the fault is on this host: its link was congested
+ * of late, or most workers are silent and at least half of those in its own domain.
+ */
+bool isLinkInDoubt(const Entry &entry, const TickTime &time);
+
 /**
  * Makes this daemon a follower and discards its tables of active work.
  * @param cause Reason, for the log.
--- a/src/dispatch/message_type.h
+++ b/src/dispatch/message_type.h
@@ -67,6 +67,7 @@
     WorkerTime leaseUntil{}; ///< New lease expiry by the worker's clock; zero for no renewal.
     std::uint64_t acknowledged = 0; ///< Run ends up to this sequence number are stored in the journal.
     Milliseconds wait{0}; ///< How long the worker may wait for a run to end before it responds.
+    Milliseconds timeout{0}; ///< How long to wait for the response.
 };
 
 /** Outcome of an order to a worker. */
@@ -110,6 +111,7 @@
     std::string ticket; ///< Ticket of the policy service; empty for none.
     Token token = 0; ///< Fencing token of the owner.
     WorkerTime leaseUntil{}; ///< Lease expiry by the worker's clock.
+    Milliseconds timeout{0}; ///< How long to wait for the response.
 };
 
 /** Order to stop a run. If the run has not started on the worker yet, its start order is rejected when it arrives. */
@@ -121,6 +123,7 @@
     std::string id; ///< Id of the worker.
     std::string address; ///< "IP:port" of the worker.
     Token token = 0;
+    Milliseconds timeout{0}; ///< How long to wait for the response.
 };
 
 /** Kind of order that a response belongs to. */
--- a/src/dispatch/systems/load_report.cpp
+++ b/src/dispatch/systems/load_report.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/entry_func.h"
+#include "dispatch/policy/order_pacing.h"
 #include "dispatch/systems/systems.h"
 #include "dispatch/table/dispatch_table.h"
 
@@ -15,46 +16,38 @@
 constexpr Milliseconds ownerInterval{1'000}; ///< Between two lines of an owner.
 constexpr Milliseconds followerInterval{5'000}; ///< Between two lines of any other daemon.
 
-/** How the owner's workers and runs are. */
-struct WorkerSummary {
-    std::size_t listed = 0;
-    std::size_t silent = 0; ///< Workers whose last poll got no response.
-    std::size_t pollsInFlight = 0;
-    std::size_t ordersInFlight = 0;
-    std::size_t ordersWaiting = 0; ///< Runs that have been stored or must stop, and whose order has not been sent.
+/** What an owner has sent to workers that has not been answered yet. */
+struct InFlight {
+    std::size_t polls = 0;
+    std::size_t orders = 0;
 };
 
-WorkerSummary summarize(const Entry &entry)
+InFlight countInFlight(const Entry &entry)
 {
-    WorkerSummary it;
-    entry.workers.table.forEach([&](WorkerRef worker) {
-        const auto &link = entry.workers.table.get<WorkerLink>(worker);
-        it.listed += entry.workers.table.get<WorkerHealth>(worker).listed ? 1 : 0;
-        it.silent += link.missedPolls > 0 ? 1 : 0;
-        it.pollsInFlight += link.inFlight ? 1 : 0;
-    });
-    entry.work.runs.forEach([&](RunRef run) {
-        const auto &state = entry.work.runs.get<RunState>(run);
-        const bool needsOrder =
-            state.phase == RunPhase::Ordered || (state.phase == RunPhase::Stopping && !state.stopAccepted);
-        it.ordersInFlight += state.inFlight ? 1 : 0;
-        it.ordersWaiting += needsOrder && !state.inFlight ? 1 : 0;
-    });
+    InFlight it;
+    entry.workers.table.forEach(
+        [&](WorkerRef worker) { it.polls += entry.workers.table.get<WorkerLink>(worker).inFlight ? 1 : 0; });
+    entry.work.runs.forEach([&](RunRef run) { it.orders += entry.work.runs.get<RunState>(run).inFlight ? 1 : 0; });
     return it;
 }
 
 /** Returns the part of the line that only an owner has. */
-std::string describeOwner(const Entry &entry)
+std::string describeOwner(const Entry &entry, const TickTime &time)
 {
-    const auto it = summarize(entry);
-    return fmt::format(" token={} workers={} silent={} polls_in_flight={} orders_in_flight={} orders_waiting={} "
+    const auto &workers = entry.workers;
+    const auto it = countInFlight(entry);
+    return fmt::format(" token={} workers={} silent={} polls_in_flight={} orders_in_flight={} "
+                       "orders_waiting={} order_window={} typical_response_ms={} link_in_doubt={} "
                        "groups_waiting={} runs={} queued_records={} advice_in_flight={}",
                        entry.ownership.token,
-                       it.listed,
-                       it.silent,
-                       it.pollsInFlight,
-                       it.ordersInFlight,
-                       it.ordersWaiting,
+                       workers.silence.listed,
+                       workers.silence.silent,
+                       it.polls,
+                       it.orders,
+                       workers.pacing.waiting,
+                       workers.pacing.window,
+                       typicalResponse(workers.pacing).count(),
+                       isLinkInDoubt(entry, time),
                        entry.work.waiting.size(),
                        entry.work.runs.size(),
                        entry.writers[static_cast<std::size_t>(JournalWriter::Owner)].queue.size(),
@@ -98,7 +91,7 @@
                  (time.now - entry.journal.asOf).count(),
                  entry.calls.size(),
                  report.longestTick.count(),
-                 entry.isOwner() ? describeOwner(entry) : std::string(),
+                 entry.isOwner() ? describeOwner(entry, time) : std::string(),
                  describeTraffic(entry));
     }
     report = {time.now + interval, entry.counters.traffic, Milliseconds{0}};
--- a/src/dispatch/systems/order.cpp
+++ b/src/dispatch/systems/order.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/entry_func.h"
 #include "dispatch/lease_expiry.h"
+#include "dispatch/policy/order_pacing.h"
 #include "dispatch/systems/systems.h"
 #include "dispatch/work_func.h"
 
@@ -21,6 +22,8 @@
 constexpr Milliseconds ticketPause{20}; ///< Pause before the next check whether a placed run's ticket has been renewed.
 /** Runs that save checkpoints and endless runs are stopped this long before their worker may be removed. */
 constexpr Milliseconds removalMargin{1'000};
+constexpr Milliseconds pollMargin{300}; ///< Time for a poll's response over an idle link, beyond the worker's wait.
+constexpr int congestedWaitFactor = 3; ///< Factor of the wait of polls over a congested link, so that there are fewer.
 
 /** Returns the estimated current reading of the worker's clock. The expiry of its lease is measured on that clock. */
 WorkerTime estimatedClock(const WorkerLink &link, const TickTime &time)
@@ -28,14 +31,25 @@
     return link.clock + (time.now - link.clockReadAt);
 }
 
+/**
+ * Returns true if a silent worker is probably alive: it is listed, and this host's own link is in doubt. Its leases are
+ * renewed, and its runs are not given up, as they may have ended well, which it will report.
+ */
+bool mayStillReport(const Entry &entry, WorkerRef worker, const TickTime &time)
+{
+    return entry.workers.table.get<WorkerHealth>(worker).listed && isLinkInDoubt(entry, time);
+}
+
 /**
  * Returns the lease expiry to send with the next order, by the worker's clock. The expiry is moved forward only if the
- * last poll got a response and the worker's clock is known. After an unanswered order it stays as it is, because the
- * worker may or may not have received the extension in that order.
+ * worker's clock is known, and the last poll got a response or this host's own link is in doubt. Otherwise it stays as
+ * it is, so that the runs of a lost worker are known to have ended soon.
  */
-WorkerTime leaseForNextOrder(Entry &entry, WorkerLink &link, const TickTime &time)
+WorkerTime leaseForNextOrder(Entry &entry, WorkerRef worker, const TickTime &time)
 {
-    if (link.missedPolls > 0 || link.clockReadAt == MonotonicTime{}) {
+    auto &link = entry.workers.table.get<WorkerLink>(worker);
+    const bool isTrusted = link.missedPolls == 0 || mayStillReport(entry, worker, time);
+    if (!isTrusted || link.clockReadAt == MonotonicTime{}) {
         return link.latestLeaseUntil;
     }
     link.latestLeaseUntil = std::max(link.latestLeaseUntil, estimatedClock(link, time) + entry.settings.lease);
@@ -78,7 +92,6 @@
 void sendStart(Entry &entry, RunRef run, const TickTime &time)
 {
     const auto identity = entry.work.runs.get<RunIdentity>(run);
-    auto &link = entry.workers.table.get<WorkerLink>(identity.worker);
     auto &state = entry.work.runs.get<RunState>(run);
     const auto &worker = entry.workers.table.get<WorkerIdentity>(identity.worker);
     const auto group = entry.work.tasks.get<TaskIdentity>(identity.task).group;
@@ -104,7 +117,8 @@
     order.checkpoint = entry.work.tasks.get<TaskState>(identity.task).checkpoint;
     order.ticket = ticket ? ticket->text : std::string();
     order.token = entry.ownership.token;
-    order.leaseUntil = leaseForNextOrder(entry, link, time);
+    order.leaseUntil = leaseForNextOrder(entry, identity.worker, time);
+    order.timeout = orderTimeout(entry.workers.pacing, entry.settings.orderTimeout);
     entry.outbox.starts.push_back(std::move(order));
 }
 
@@ -120,13 +134,13 @@
                                   identity.number,
                                   worker.id,
                                   worker.address,
-                                  entry.ownership.token});
+                                  entry.ownership.token,
+                                  orderTimeout(entry.workers.pacing, entry.settings.orderTimeout)});
 }
 
-/**
- * Sends the start or stop order that a run needs, unless an order is in flight or the pause after it has not passed.
+/** Returns true if a run needs a start or stop order now: none is in flight, and the pause after the last has passed.
  */
-void orderRun(Entry &entry, RunRef run, const TickTime &time)
+bool isOrderDue(Entry &entry, RunRef run, const TickTime &time)
 {
     auto &state = entry.work.runs.get<RunState>(run);
     const auto stored = entry.writer(JournalWriter::Owner).batchesStored;
@@ -137,21 +151,60 @@
     const bool needsOrder =
         state.phase == RunPhase::Ordered || (state.phase == RunPhase::Stopping && !state.stopAccepted);
     if (!needsOrder || state.inFlight) {
-        return;
+        return false;
     }
     if (time.now < state.sendAt) {
         entry.wakeBy(state.sendAt);
-        return;
+        return false;
+    }
+    return true;
+}
+
+/** An order that is due. Stops sort first, as they free capacity, then those that have been due for longest. */
+struct DueOrder {
+    bool isStart = false;
+    MonotonicTime since{};
+    RunRef run;
+
+    auto key() const
+    {
+        return std::pair(isStart, since);
+    }
+};
+
+/** Sends due orders in their order, as far as the window allows. */
+void sendDueOrders(Entry &entry, std::vector<DueOrder> &due, std::size_t inFlight, const TickTime &time)
+{
+    auto &pacing = entry.workers.pacing;
+    const std::size_t allowed = pacing.window > inFlight ? pacing.window - inFlight : 0;
+    if (due.size() > allowed) {
+        std::ranges::sort(due, {}, &DueOrder::key);
     }
-    if (state.phase == RunPhase::Ordered) {
-        sendStart(entry, run, time);
-    } else {
-        sendStop(entry, run);
+    const auto n = std::min(due.size(), allowed);
+    pacing.waiting = due.size() - n;
+    for (std::size_t i = 0; i < n; ++i) {
+        const auto run = due[i].run;
+        if (!entry.work.runs.contains(run)) {
+            continue; // discarded with its gang by an earlier order of the loop
+        }
+        if (entry.work.runs.get<RunState>(run).phase == RunPhase::Ordered) {
+            sendStart(entry, run, time);
+        } else {
+            sendStop(entry, run);
+        }
     }
 }
 
+/** Returns how long a worker may wait for the end of a run before it answers a poll. */
+Milliseconds pollWait(const Entry &entry, const TickTime &time)
+{
+    const auto wait = entry.settings.pollWait;
+    return wasCongested(entry.workers.pacing, time.now) ? wait * congestedWaitFactor : wait;
+}
+
 /**
- * Adds a poll to the outbox. The poll renews the lease if ownership is certain and the worker responds and has runs.
+ * Adds a poll to the outbox. The poll renews the lease if ownership is certain, the worker has runs, and it responds or
+ * this host's own link is in doubt.
  */
 void sendPoll(Entry &entry, WorkerRef worker, const TickTime &time)
 {
@@ -164,12 +217,13 @@
     order.id = identity.id;
     order.address = identity.address;
     order.token = entry.ownership.token;
-    const bool isRenewal =
-        link.hasResponded && !load.runs.empty() && link.missedPolls == 0 && isCertainOwner(entry, time);
-    order.leaseUntil = isRenewal ? leaseForNextOrder(entry, link, time) : WorkerTime{};
+    const bool isTrusted = link.missedPolls == 0 || mayStillReport(entry, worker, time);
+    const bool isRenewal = link.hasResponded && !load.runs.empty() && isTrusted && isCertainOwner(entry, time);
+    order.leaseUntil = isRenewal ? leaseForNextOrder(entry, worker, time) : WorkerTime{};
     order.acknowledged = link.lastEndStored;
     const bool mayWait = link.hasResponded && link.missedPolls == 0 && !load.runs.empty();
-    order.wait = mayWait ? entry.settings.pollWait : Milliseconds{0};
+    order.wait = mayWait ? pollWait(entry, time) : Milliseconds{0};
+    order.timeout = order.wait + orderTimeout(entry.workers.pacing, pollMargin);
     entry.outbox.polls.push_back(std::move(order));
 }
 
@@ -245,6 +299,24 @@
     }
 }
 
+/** Counts the listed workers and those of them that are silent. */
+WorkerSilence countSilence(const Entry &entry)
+{
+    WorkerSilence sum;
+    entry.workers.table.forEach([&](WorkerRef worker) {
+        if (!entry.workers.table.get<WorkerHealth>(worker).listed) {
+            return;
+        }
+        const bool isSilent = entry.workers.table.get<WorkerLink>(worker).missedPolls > 0;
+        const bool isOwn = entry.workers.table.get<WorkerIdentity>(worker).domain == entry.settings.domain;
+        sum.listed += 1;
+        sum.silent += isSilent ? 1 : 0;
+        sum.listedInOwnDomain += isOwn ? 1 : 0;
+        sum.silentInOwnDomain += isOwn && isSilent ? 1 : 0;
+    });
+    return sum;
+}
+
 } // namespace
 
 void leaseSystem(Entry &entry, const TickTime &time)
@@ -252,13 +324,16 @@
     if (!entry.isOwner()) {
         return;
     }
+    entry.workers.silence = countSilence(entry);
     entry.workers.table.forEach([&](WorkerRef worker) {
         if (entry.workers.table.get<WorkerLoad>(worker).runs.empty()) {
             return;
         }
         const auto &link = entry.workers.table.get<WorkerLink>(worker);
         if ((link.missedPolls > 0 || !link.hasResponded) && time.now > link.leaseExpiresAt) {
-            endExpiredRuns(entry, worker, time);
+            if (!mayStillReport(entry, worker, time)) {
+                endExpiredRuns(entry, worker, time);
+            }
         } else if (entry.workers.table.get<WorkerHealth>(worker).draining) {
             stopRunsBeforeRemoval(entry, worker, time);
         }
@@ -271,11 +346,16 @@
         return;
     }
     const bool isAllowed = mayStart(entry, time);
+    std::vector<DueOrder> due;
+    std::size_t inFlight = 0;
     entry.work.runs.forEach([&](RunRef run) {
-        if (isAllowed || entry.work.runs.get<RunState>(run).phase == RunPhase::Stopping) {
-            orderRun(entry, run, time);
+        const auto &state = entry.work.runs.get<RunState>(run);
+        inFlight += state.inFlight ? 1 : 0;
+        if ((isAllowed || state.phase == RunPhase::Stopping) && isOrderDue(entry, run, time)) {
+            due.push_back({state.phase == RunPhase::Ordered, state.sendAt, run});
         }
     });
+    sendDueOrders(entry, due, inFlight, time);
 }
 
 void pollSystem(Entry &entry, const TickTime &time)
--- a/src/dispatch/systems/placement.cpp
+++ b/src/dispatch/systems/placement.cpp
@@ -169,6 +169,10 @@
         entry.wakeBy(entry.work.passAt);
         return;
     }
+    if (entry.workers.pacing.waiting > entry.workers.pacing.window) {
+        entry.wakeBy(time.now + passInterval); // what waits here is still ordered by urgency; what is placed is not
+        return;
+    }
     if (!entry.work.passRequested && time.now < entry.work.fullPassAt) {
         entry.wakeBy(entry.work.fullPassAt);
         return;
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/entry_func.h"
 #include "dispatch/lease_expiry.h"
+#include "dispatch/policy/order_pacing.h"
 #include "dispatch/systems/systems.h"
 #include "dispatch/table/dispatch_table.h"
 #include "dispatch/work_func.h"
@@ -95,7 +96,14 @@
 {
     const auto &identity = entry.workers.table.get<WorkerIdentity>(worker);
     logEvent(entry, EventKind::StrayRun, row.task.job, "worker={} run={}", identity.id, row.run);
-    entry.outbox.stops.push_back({{}, worker, row.task, row.run, identity.id, identity.address, entry.ownership.token});
+    entry.outbox.stops.push_back({{},
+                                  worker,
+                                  row.task,
+                                  row.run,
+                                  identity.id,
+                                  identity.address,
+                                  entry.ownership.token,
+                                  orderTimeout(entry.workers.pacing, entry.settings.orderTimeout)});
 }
 
 /** Records the reported percentage of a run, and when it last changed. */
@@ -406,6 +414,10 @@
     if (!entry.work.runs.contains(response.run)) {
         return;
     }
+    const auto worker = entry.work.runs.get<RunIdentity>(response.run).worker;
+    if (entry.workers.table.get<WorkerLink>(worker).missedPolls == 0) {
+        recordResponse(entry.workers.pacing, response.receivedAt - response.sentAt, time.now);
+    }
     if (response.kind == OrderKind::Start) {
         handleStartResponse(entry, response, time);
     } else {
--- a/src/dispatch/worker_base.h
+++ b/src/dispatch/worker_base.h
@@ -6,6 +6,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <array>
 #include <deque>
 #include <string>
 #include <vector>
@@ -70,10 +71,32 @@
 
 using WorkerTable = Table<WorkerTag, WorkerIdentity, WorkerLoad, WorkerHealth, WorkerLink>;
 
+/** State of the pacing of orders to workers; policy/order_pacing.h decides by it. */
+struct OrderPacing {
+    static constexpr std::size_t memory = 16; ///< Number of response times that are remembered.
+
+    std::array<Milliseconds, memory> responseTimes{}; ///< The latest ones; the oldest is overwritten.
+    std::size_t count = 0; ///< Number of response times recorded so far.
+    std::uint32_t window = 64; ///< Orders that may be in flight.
+    MonotonicTime reducedAt{}; ///< When the window was last reduced.
+    MonotonicTime congestedAt{}; ///< When the link was last found to be congested; zero before.
+    std::size_t waiting = 0; ///< Orders that were due at the last tick and exceeded the window.
+};
+
+/** How many workers were silent at the last tick: those whose latest poll got no response. */
+struct WorkerSilence {
+    std::size_t listed = 0;
+    std::size_t silent = 0;
+    std::size_t listedInOwnDomain = 0; ///< In the domain of this daemon's host.
+    std::size_t silentInOwnDomain = 0;
+};
+
 /** The table of workers with its index by id. */
 struct Workers {
     WorkerTable table;
     absl::flat_hash_map<std::string, WorkerRef> byId;
+    OrderPacing pacing;
+    WorkerSilence silence;
 };
 
 } // namespace flamingotally::dispatch
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -150,8 +150,7 @@
  * @param traffic Counts the bytes.
  * @param keepAlive Set to true if the connection can be reused afterwards.
  */
-awaitable<HttpResult>
-exchangeMessages(beast::tcp_stream &stream, HttpCall &call, StepTraffic &traffic, bool &keepAlive)
+awaitable<HttpResult> exchangeMessages(beast::tcp_stream &stream, HttpCall &call, StepTraffic &traffic, bool &keepAlive)
 {
     const auto message = toMessage(call);
     const auto [writeError, sent] = co_await http::async_write(stream, message, useTuple);
--- a/tests/dispatch_failure_test.cpp
+++ b/tests/dispatch_failure_test.cpp
@@ -37,6 +37,9 @@
     CPPUNIT_TEST(startsNothingOnAStaleView);
     CPPUNIT_TEST(smallHostCedesOwnershipToALargerOne);
     CPPUNIT_TEST(ownershipIsStableAmongSmallHostsWhenLargerOnesAreGone);
+    CPPUNIT_TEST(startsEachRunOnceOverANarrowLink);
+    CPPUNIT_TEST(keepsRunsOfWorkersThatOnlySeemSilent);
+    CPPUNIT_TEST(givesUpRunsOfSilentWorkersThatAreNoLongerListed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -397,6 +400,90 @@
         CPPUNIT_ASSERT(world.owner() == owner);
         CPPUNIT_ASSERT_EQUAL(token, world.entry(owner.value()).ownership.token);
     }
+
+    /**
+     * A burst of starts filled the owner's narrow link. Orders and polls waited in it, were given up and sent again,
+     * until most workers counted as lost although they worked, and tasks that were done were started again.
+     */
+    void startsEachRunOnceOverANarrowLink()
+    {
+        constexpr std::size_t workers = 60;
+        constexpr std::uint32_t tasksPerJob = 12;
+        constexpr JobId jobs = 20;
+        DispatchWorld world(1, workers);
+        world.run(settleTime);
+        world.linkBytesPerMs = 100;
+        for (JobId id = 1; id <= jobs; ++id) {
+            for (std::uint32_t n = 0; n < tasksPerJob; ++n) {
+                world.scripts[{id, 0, 0, n}] = {{Milliseconds{1'000}, RunEnd::Done}};
+            }
+            world.submit(0, id, jobOf({plainStep(tasksPerJob)}));
+        }
+        world.run(Milliseconds{12'000});
+        for (JobId id = 1; id <= jobs; ++id) {
+            for (std::uint32_t n = 0; n < tasksPerJob; ++n) {
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({id, 0, 0, n}));
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world.entry(0).counters.lostRuns);
+        assertNoViolations(world);
+    }
+
+    /**
+     * Most workers did not answer the owner for longer than their leases, but worked and were listed. A task that was
+     * done on one of them was started again on another.
+     */
+    void keepsRunsOfWorkersThatOnlySeemSilent()
+    {
+        constexpr std::uint32_t tasks = 16;
+        DispatchWorld world(1, 4);
+        world.run(settleTime);
+        for (std::uint32_t n = 0; n < tasks; ++n) {
+            world.scripts[{1, 0, 0, n}] = {{Milliseconds{1'000}, RunEnd::Done}};
+        }
+        world.submit(0, 1, jobOf({plainStep(tasks)}));
+        world.run(Milliseconds{500});
+        for (std::size_t n = 0; n < 3; ++n) {
+            world.linkModes[n] = LinkMode::Cut;
+        }
+        world.run(Milliseconds{9'000});
+        for (std::size_t n = 0; n < 3; ++n) {
+            world.linkModes[n] = LinkMode::Up;
+        }
+        world.run(Milliseconds{2'000});
+        for (std::uint32_t n = 0; n < tasks; ++n) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, n}));
+        }
+        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Completed);
+        assertNoViolations(world);
+    }
+
+    /** Silence of most workers is no reason to wait for those that have left the list. */
+    void givesUpRunsOfSilentWorkersThatAreNoLongerListed()
+    {
+        constexpr std::uint32_t tasks = 4;
+        DispatchWorld world(1, 4);
+        world.run(settleTime);
+        for (std::uint32_t n = 0; n < tasks; ++n) {
+            world.scripts[{1, 0, 0, n}] = {{Milliseconds{60'000}, RunEnd::Done}, {Milliseconds{100}, RunEnd::Done}};
+        }
+        world.submit(0, 1, jobOf({plainStep(tasks)}));
+        world.run(Milliseconds{500});
+        std::size_t cut = 0;
+        for (std::size_t n = 0; n < 3; ++n) {
+            cut += world.worker(n).runningCount();
+            world.linkModes[n] = LinkMode::Cut;
+            world.unlistWorker(n);
+        }
+        world.run(Milliseconds{9'000});
+        std::size_t starts = 0;
+        for (std::uint32_t n = 0; n < tasks; ++n) {
+            starts += world.startsOf({1, 0, 0, n});
+        }
+        CPPUNIT_ASSERT(cut > 0);
+        CPPUNIT_ASSERT_EQUAL(tasks + cut, starts);
+        assertNoViolations(world);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchFailureTest);
--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -15,6 +15,8 @@
 
 constexpr Milliseconds messageDelay{2}; ///< One-way delay of every message.
 constexpr Milliseconds lateStartDelay{3'000}; ///< Delay of start orders on links in LinkMode::Late.
+constexpr std::size_t orderBytes = 900; ///< Size of an order on the link, with the connection that it may open.
+constexpr std::size_t pollBytes = 400; ///< Size of a poll on the link.
 constexpr Milliseconds defaultAdviceTime{20}; ///< Response time of the policy service for jobs without a set time.
 constexpr Milliseconds wallStart{1'700'000'000'000}; ///< Wall time at the start of a world, since the Unix epoch.
 
@@ -144,6 +146,18 @@
             });
             return;
         }
+        if (const auto delay = linkDelay(pollBytes); delay > Milliseconds{0}) {
+            m_world.m_queue.after(delay,
+                                  [ports = *this, order, sentAt]() mutable { ports.executePoll(order, sentAt); });
+            return;
+        }
+        executePoll(order, sentAt);
+    }
+
+    /** Makes the worker answer a poll that has arrived; the response is lost after the order's time-out. */
+    void executePoll(const PollOrder &order, MonotonicTime sentAt)
+    {
+        const auto n = m_world.indexOf(order.id);
         auto &model = m_world.worker(n);
         model.advance(m_world.m_queue.now());
         const auto next = model.nextEnd();
@@ -168,6 +182,17 @@
             respondToOrder(OrderKind::Start, order.run, order.token, OrderResult::NoResponse, Milliseconds{700});
             return;
         }
+        const auto delay = linkDelay(orderBytes);
+        if (delay > Milliseconds{0}) {
+            m_world.m_queue.after(delay, [executeStart] { executeStart(); });
+            const bool isLate = delay > order.timeout;
+            respondToOrder(OrderKind::Start,
+                           order.run,
+                           order.token,
+                           isLate ? OrderResult::NoResponse : OrderResult::Accepted,
+                           isLate ? order.timeout : delay + 2 * messageDelay);
+            return;
+        }
         respondToOrder(OrderKind::Start, order.run, order.token, executeStart(), 2 * messageDelay);
     }
 
@@ -219,6 +244,18 @@
         return read;
     }
 
+    /** Sends a message over the link of the daemon's host; returns how long it takes until the link has carried it. */
+    Milliseconds linkDelay(std::size_t bytes)
+    {
+        if (m_world.linkBytesPerMs == 0) {
+            return Milliseconds{0};
+        }
+        auto &freeAt = m_world.m_daemons[m_daemon]->linkFreeAtMs;
+        const auto nowMs = static_cast<double>(m_world.m_queue.now().count());
+        freeAt = std::max(freeAt, nowMs) + static_cast<double>(bytes) / static_cast<double>(m_world.linkBytesPerMs);
+        return Milliseconds{static_cast<std::int64_t>(freeAt - nowMs)};
+    }
+
     /** Returns the fault mode of the store for the calls of this daemon. */
     StoreMode mode() const
     {
@@ -236,8 +273,14 @@
     {
         m_world.m_queue.after(delay, [world = &m_world, daemon = m_daemon, incarnation = m_incarnation, order, sentAt] {
             const auto n = world->indexOf(order.id);
-            if (world->linkModes[n] == LinkMode::Cut) {
-                world->deliver(daemon, incarnation, Milliseconds{1'000}, [order, sentAt](Inbox &inbox) {
+            const bool isCut = world->linkModes[n] == LinkMode::Cut;
+            const bool isLate =
+                world->linkBytesPerMs > 0 && MonotonicTime{world->m_queue.now()} - sentAt > order.timeout;
+            if (isLate) {
+                world->worker(n).poll(order, world->m_queue.now()); // executed, though nobody hears of it
+            }
+            if (isCut || isLate) {
+                world->deliver(daemon, incarnation, Milliseconds{isCut ? 1'000 : 0}, [order, sentAt](Inbox &inbox) {
                     PollResponse lost;
                     lost.worker = order.worker;
                     lost.token = order.token;
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -344,6 +344,17 @@
 void DispatchWorld::listWorker(std::size_t n, bool draining)
 {
     m_workers[n].listing.draining = draining;
+    publishListing(n);
+}
+
+void DispatchWorld::unlistWorker(std::size_t n)
+{
+    m_workers[n].listing.removed = true;
+    publishListing(n);
+}
+
+void DispatchWorld::publishListing(std::size_t n)
+{
     for (std::size_t daemon = 0; daemon < m_daemons.size(); ++daemon) {
         if (m_daemons[daemon]->isWatchingWorkers) {
             WorkerListRead read;
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -105,6 +105,9 @@
     /** Publishes the entry of a worker in the list of workers anew, as draining or not. */
     void listWorker(std::size_t n, bool draining);
 
+    /** Removes the entry of a worker from the list of workers. */
+    void unlistWorker(std::size_t n);
+
     /** Publishes a configuration with the next version. */
     void publish(dispatch::Configuration next);
 
@@ -126,6 +129,11 @@
     std::map<std::pair<dispatch::JobId, std::uint32_t>, Milliseconds> adviceRequestedAt;
     /** Maximum number of records in a read of the journal. */
     std::size_t recordsPerRead = std::numeric_limits<std::size_t>::max();
+    /**
+     * Bytes that the link of each daemon's host carries in a millisecond from the daemon to workers; zero for no bound.
+     * What does not fit waits in the link. A response after an order's time-out is lost, though the order is executed.
+     */
+    std::size_t linkBytesPerMs = 0;
     Milliseconds storeDelay{0}; ///< Added to the response time of all appends.
     Milliseconds wallStep{0}; ///< Added to the wall clock of all daemons.
 
@@ -140,6 +148,7 @@
         bool alive = true;
         Milliseconds frozenUntil{0}; ///< The daemon is paused until this time.
         Milliseconds wakeAt{0}; ///< Time of the next tick.
+        double linkFreeAtMs = 0; ///< When the link has carried all that was sent so far, in virtual milliseconds.
         std::uint64_t incarnation = 1; ///< Increases when the daemon is killed or restarted.
         bool isWatchingWorkers = false; ///< The daemon receives the list of workers.
         std::uint64_t eventsDropped = 0;
@@ -166,6 +175,8 @@
                  const std::function<void(dispatch::Inbox &)> &put);
     /** Delivers the configuration to a daemon, and repeats this at an interval. */
     void readConfig(std::size_t daemon, std::uint64_t incarnation);
+    /** Sends the entry of a worker in the list of workers to the daemons that watch the list. */
+    void publishListing(std::size_t n);
     /** Makes the workers execute everything up to the current time. */
     void advanceWorkers();
     /** Records that a run has begun, and checks the invariants. */
