Let an idle connection make room when the client's limit is reached

Cause: on the large site the owner keeps up to eight idle connections to each of 1,100 workers. Change: at the limit the connection that has been idle for longest is closed; the limit is 3,000, so that a host with 4,100 descriptors has some left for its callers; a call that is not sent counts as failed. Test: idleConnectionMakesRoomForANewOne, which failed before.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http.hpp>
 
+#include <map>
 #include <utility>
 
 namespace flamingotally
@@ -27,6 +28,12 @@
 using ConnectionTable = Table<ConnectionTag, ConnectionPtr>;
 using ConnectionRef = ConnectionTable::RowRef;
 
+/** A connection that no call uses. */
+struct IdleConnection {
+    ConnectionRef ref;
+    std::uint64_t number = 0; ///< Counts releases, so the lowest number has been idle for longest.
+};
+
 http::request<http::string_body> toMessage(HttpCall &call)
 {
     const auto name = rowOf(httpMethodTable, call.method).name;
@@ -96,7 +103,9 @@
     HttpClientSettings settings;
     ConnectionTable connections;
     TrafficByStep traffic{};
-    absl::flat_hash_map<std::string, std::vector<ConnectionRef>> idle; ///< Idle connections by address.
+    absl::flat_hash_map<std::string, std::vector<IdleConnection>> idle; ///< By address, the latest released last.
+    std::map<std::uint64_t, std::string> idleByAge; ///< Addresses of the idle connections, by IdleConnection::number.
+    std::uint64_t releases = 0; ///< Connections released so far.
 };
 
 namespace
@@ -112,10 +121,11 @@
     if (it == state.idle.end()) {
         return {};
     }
-    auto &refs = it->second;
-    while (!refs.empty()) {
-        const auto ref = refs.back();
-        refs.pop_back();
+    auto &idle = it->second;
+    while (!idle.empty()) {
+        const auto [ref, number] = idle.back();
+        idle.pop_back();
+        state.idleByAge.erase(number);
         if (isUsable(*state.connections.get<ConnectionPtr>(ref))) {
             return ref;
         }
@@ -127,9 +137,10 @@
 /** Keeps a connection open for the next call, or closes it if the address has enough idle ones. */
 void releaseConnection(State &state, const std::string &address, ConnectionRef ref)
 {
-    if (auto &refs = state.idle[address]; refs.size() < state.settings.maxIdlePerAddress) {
+    if (auto &idle = state.idle[address]; idle.size() < state.settings.maxIdlePerAddress) {
         state.connections.get<ConnectionPtr>(ref)->expires_never();
-        refs.push_back(ref);
+        idle.push_back({ref, ++state.releases});
+        state.idleByAge.emplace(state.releases, address);
         return;
     }
     state.connections.erase(ref);
@@ -139,12 +150,30 @@
 void closeIdleConnections(State &state, const std::string &address)
 {
     if (const auto it = state.idle.find(address); it != state.idle.end()) {
-        for (const auto ref : std::exchange(it->second, {})) {
+        for (const auto &[ref, number] : std::exchange(it->second, {})) {
             state.connections.erase(ref);
+            state.idleByAge.erase(number);
         }
     }
 }
 
+/** Returns true if a call may open a connection; at the limit, closes the one that has been idle for longest. */
+bool makeRoom(State &state)
+{
+    if (state.connections.size() < state.settings.maxConnections) {
+        return true;
+    }
+    if (state.idleByAge.empty()) {
+        return false;
+    }
+    const auto oldest = state.idleByAge.begin();
+    auto &idle = state.idle[oldest->second];
+    state.connections.erase(idle.front().ref); // the first released of an address is also its oldest
+    idle.erase(idle.begin());
+    state.idleByAge.erase(oldest);
+    return true;
+}
+
 /**
  * Sends a request on an open connection and receives the response.
  * @param traffic Counts the bytes.
@@ -193,7 +222,8 @@
     ++traffic.calls;
     auto ref = takeIdle(*state, call.address);
     const bool isOpen = ref.isSet();
-    if (!isOpen && state->connections.size() >= state->settings.maxConnections) {
+    if (!isOpen && !makeRoom(*state)) {
+        ++traffic.failures;
         co_await asio::post(state->io, asio::use_awaitable);
         co_return callError(absl::StatusCode::kUnavailable, call, "connection limit reached");
     }
@@ -256,11 +286,12 @@
 
 void HttpClient::close()
 {
-    for (const auto &[address, refs] : std::exchange(m_state->idle, {})) {
-        for (const auto ref : refs) {
-            m_state->connections.erase(ref);
+    for (const auto &[address, idle] : std::exchange(m_state->idle, {})) {
+        for (const auto &it : idle) {
+            m_state->connections.erase(it.ref);
         }
     }
+    m_state->idleByAge.clear();
     m_state->connections.forEach([this](ConnectionRef ref) { m_state->connections.get<ConnectionPtr>(ref)->close(); });
 }
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -18,7 +18,8 @@
 /** Limits of a client. */
 struct HttpClientSettings {
     std::size_t maxIdlePerAddress = 8; ///< Idle connections that are kept open for each address.
-    std::size_t maxConnections = 4'096; ///< Beyond it, a call that needs a new connection fails as never sent.
+    /** At this limit the connection that has been idle for longest makes room; if none is idle, a call is not sent. */
+    std::size_t maxConnections = 3'000;
 };
 
 /** What the calls of one step have sent and received. Bytes are those of HTTP messages, without the transport's. */
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(lateResponsesReachTheirOwnCallers);
     CPPUNIT_TEST(connectionIsReused);
     CPPUNIT_TEST(requestOnRefusedConnectionWasNeverSent);
+    CPPUNIT_TEST(idleConnectionMakesRoomForANewOne);
     CPPUNIT_TEST(closeWithoutResponseMeansUnknownOutcome);
     CPPUNIT_TEST(unresponsiveServerTimesOut);
     CPPUNIT_TEST(closedIdleConnectionIsNotReused);
@@ -114,6 +115,31 @@
         CPPUNIT_ASSERT_EQUAL(address, peerOf(result.status()));
     }
 
+    /** Idle connections to many addresses used up the limit for good, so that no new address could be reached. */
+    void idleConnectionMakesRoomForANewOne()
+    {
+        startServer();
+        const auto respond = [](const HttpRequest & /*request*/, const HttpResponder &responder) {
+            responder({.body = "other"});
+        };
+        HttpServer other(*m_io, HttpServerSettings{}, respond);
+        CPPUNIT_ASSERT(other.listen(anyLoopbackPort).ok());
+        HttpClient client(*m_io, {.maxConnections = 2});
+        CPPUNIT_ASSERT(callAndWait(*m_io, client, callTo({.target = "/"})).ok());
+        m_respondsAtOnce = false;
+        std::optional<HttpResult> pending;
+        client.send(callTo({.target = "/"}), [&pending](HttpResult arrived) { pending = std::move(arrived); });
+        runUntil(*m_io, [this] { return !m_responders.empty(); });
+        for (int n = 0; n < 3; ++n) {
+            CPPUNIT_ASSERT(callAndWait(*m_io, client, {.address = other.address(), .target = "/"}).ok());
+            m_respondsAtOnce = true;
+            CPPUNIT_ASSERT(callAndWait(*m_io, client, callTo({.target = "/"})).ok());
+        }
+        m_responders.front()({.body = "late"});
+        runUntil(*m_io, [&pending] { return pending.has_value(); });
+        CPPUNIT_ASSERT(pending->ok());
+    }
+
     void closeWithoutResponseMeansUnknownOutcome()
     {
         startServer();
