Write the ends of a step's tasks together

Most of it are progress records: each end of a task writes its occurrence as a whole. Change: an end that completes no step is written within 250 ms, with the others of that time; it is acknowledged to its worker once written, as before. Placements, ended steps, failures and closures are written at once, as before. Tests: writesEndsOfOneStepTogether (failed before), remembersEndsThatWereNotWrittenYet.

--- a/src/dispatch/systems/order.cpp
+++ b/src/dispatch/systems/order.cpp
@@ -231,7 +231,8 @@
 void updateStoredEnds(Entry &entry, WorkerLink &link)
 {
     const auto stored = entry.writer(JournalWriter::Owner).batchesStored;
-    while (!link.pendingEnds.empty() && link.pendingEnds.front().batch <= stored) {
+    while (!link.pendingEnds.empty() && link.pendingEnds.front().batch != 0
+           && link.pendingEnds.front().batch <= stored) {
         link.lastEndStored = link.pendingEnds.front().number;
         link.pendingEnds.pop_front();
     }
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -183,7 +183,8 @@
     }
 }
 
-/** Applies the run ends of a worker's report that are new, and notes in which batch each of them will be stored. */
+/** Applies the run ends of a worker's report that are new, and notes in which batch each will be stored, if that is
+ * known. */
 void applyEnds(Entry &entry, const PollResponse &response, const TickTime &time)
 {
     for (const auto &row : response.ended) {
@@ -198,7 +199,7 @@
         }
         auto &link = entry.workers.table.get<WorkerLink>(response.worker);
         link.lastEndApplied = row.number;
-        link.pendingEnds.push_back({row.number, nextOwnerBatch(entry)});
+        link.pendingEnds.push_back({row.number, entry.work.deferred.empty() ? nextOwnerBatch(entry) : 0});
     }
 }
 
--- a/src/dispatch/systems/write_journal.cpp
+++ b/src/dispatch/systems/write_journal.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/entry_func.h"
 #include "dispatch/systems/systems.h"
 #include "dispatch/work_func.h"
+#include "dispatch/work_step.h"
 
 #include <algorithm>
 
@@ -137,6 +138,7 @@
         }
         auto &state = work.occurrences.get<OccurrenceWork>(occurrence);
         state.dirty = false;
+        state.deferred = false;
         queueRecord(entry, JournalWriter::Owner, progressOf(entry, occurrence));
         if (state.closed && state.liveRuns == 0) {
             eraseOccurrence(entry, occurrence);
@@ -144,6 +146,27 @@
     }
 }
 
+/**
+ * Marks deferred progress dirty when it is due. Run ends that wait for it are stored in the batch that is made next.
+ */
+void writeDeferred(Entry &entry, const TickTime &time)
+{
+    auto &work = entry.work;
+    if (work.deferred.empty()) {
+        return;
+    }
+    if (time.now < work.deferredUntil) {
+        entry.wakeBy(work.deferredUntil);
+        return;
+    }
+    markDeferredDirty(work);
+    entry.workers.table.forEach([&](WorkerRef worker) {
+        for (auto &it : entry.workers.table.get<WorkerLink>(worker).pendingEnds) {
+            it.batch = it.batch == 0 ? nextOwnerBatch(entry) : it.batch;
+        }
+    });
+}
+
 /** Moves queued records into a new batch of the writer. */
 void makeBatch(Writer &writer, JournalWriter which)
 {
@@ -191,6 +214,9 @@
         if (writer.inFlight) {
             continue;
         }
+        if (which == JournalWriter::Owner && !writer.batch) {
+            writeDeferred(entry, time);
+        }
         const bool hasWork =
             writer.batch || !writer.queue.empty() || (which == JournalWriter::Owner && !entry.work.dirty.empty());
         if (!hasWork) {
--- a/src/dispatch/work_base.h
+++ b/src/dispatch/work_base.h
@@ -22,6 +22,7 @@
     MonotonicTime dueAt{}; ///< The first steps may begin at this time.
     bool begun = false; ///< At least one of its tasks has been placed.
     bool dirty = false; ///< The progress has changed and must be written to the journal.
+    bool deferred = false; ///< The progress has changed in a way that may be written a little later.
     bool closed = false; ///< The occurrence completed, or its job failed or was cancelled: no more tasks are started.
     OccurrenceOutcome outcome = OccurrenceOutcome::None;
     std::uint32_t liveRuns = 0; ///< Number of runs in the table, all of which use capacity of workers.
@@ -155,6 +156,8 @@
     absl::flat_hash_map<std::string, Resources> teamUse; ///< Resources that the runs of each team use.
     std::vector<GroupRef> waiting; ///< Open groups with waiting tasks; each pass sorts them.
     std::vector<OccurrenceRef> dirty; ///< Occurrences whose progress must be written to the journal.
+    std::vector<OccurrenceRef> deferred; ///< Occurrences whose progress is written at `deferredUntil` at the latest.
+    MonotonicTime deferredUntil{}; ///< Valid unless `deferred` is empty.
     std::vector<std::pair<JobRef, std::uint32_t>> upcoming; ///< Jobs with the number of their next occurrence to open.
     PlacementPass pass; ///< The current or the last placement pass.
     MonotonicTime passAt{}; ///< No placement pass begins before this time.
--- a/src/dispatch/work_end.cpp
+++ b/src/dispatch/work_end.cpp
@@ -82,11 +82,12 @@
         state.checkpoint.clear();
         ++work.groups.get<GroupState>(group).done;
     }
-    markDirty(work, occurrence);
     if (isDone(work, group)) {
+        markDirty(work, occurrence);
         openGroups(entry, occurrence, time);
         completeIfDone(entry, occurrence);
     } else {
+        deferWrite(work, occurrence, time);
         prefetchAdvice(entry, occurrence);
     }
 }
--- a/src/dispatch/work_step.cpp
+++ b/src/dispatch/work_step.cpp
@@ -3,6 +3,7 @@
 #include "dispatch/entry_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace flamingotally::dispatch
 {
@@ -16,6 +17,29 @@
     }
 }
 
+void deferWrite(Work &work, OccurrenceRef occurrence, const TickTime &time)
+{
+    constexpr Milliseconds longestDelay{250};
+    auto &state = work.occurrences.get<OccurrenceWork>(occurrence);
+    if (state.dirty || state.deferred) {
+        return;
+    }
+    if (work.deferred.empty()) {
+        work.deferredUntil = time.now + longestDelay;
+    }
+    state.deferred = true;
+    work.deferred.push_back(occurrence);
+}
+
+void markDeferredDirty(Work &work)
+{
+    for (const auto occurrence : std::exchange(work.deferred, {})) {
+        if (work.occurrences.contains(occurrence) && work.occurrences.get<OccurrenceWork>(occurrence).deferred) {
+            markDirty(work, occurrence);
+        }
+    }
+}
+
 void listGroup(Work &work, GroupRef group)
 {
     auto &state = work.groups.get<GroupState>(group);
--- a/src/dispatch/work_step.h
+++ b/src/dispatch/work_step.h
@@ -9,6 +9,16 @@
 /** Marks an occurrence as dirty, so that its progress is written to the journal. */
 void markDirty(Work &work, OccurrenceRef occurrence);
 
+/**
+ * Has the progress of an occurrence written to the journal soon. For changes that nobody waits for, such as the end of
+ * one of many tasks: an occurrence is written as a whole, so that writing each of its ends would cost as many times its
+ * size.
+ */
+void deferWrite(Work &work, OccurrenceRef occurrence, const TickTime &time);
+
+/** Marks the occurrences dirty whose writing was deferred. */
+void markDeferredDirty(Work &work);
+
 /** Adds an open group to the waiting groups, unless it is there already. Makes the next placement pass run early. */
 void listGroup(Work &work, GroupRef group);
 
--- a/src/dispatch/worker_base.h
+++ b/src/dispatch/worker_base.h
@@ -47,7 +47,7 @@
 /** A reported run end that is acknowledged to its worker once it is stored in the journal. */
 struct PendingEnd {
     std::uint64_t number = 0; ///< Sequence number of the run end in the worker's report.
-    std::uint64_t batch = 0; ///< Number of the owner's batch in which the run end is stored.
+    std::uint64_t batch = 0; ///< Number of the owner's batch that stores the run end; zero until that is decided.
 };
 
 /** State of the communication with a worker. */
--- a/tests/dispatch_failure_test.cpp
+++ b/tests/dispatch_failure_test.cpp
@@ -37,6 +37,8 @@
     CPPUNIT_TEST(startsNothingOnAStaleView);
     CPPUNIT_TEST(smallHostCedesOwnershipToALargerOne);
     CPPUNIT_TEST(ownershipIsStableAmongSmallHostsWhenLargerOnesAreGone);
+    CPPUNIT_TEST(writesEndsOfOneStepTogether);
+    CPPUNIT_TEST(remembersEndsThatWereNotWrittenYet);
     CPPUNIT_TEST(startsEachRunOnceOverANarrowLink);
     CPPUNIT_TEST(keepsRunsOfWorkersThatOnlySeemSilent);
     CPPUNIT_TEST(givesUpRunsOfSilentWorkersThatAreNoLongerListed);
@@ -401,6 +403,50 @@
         CPPUNIT_ASSERT_EQUAL(token, world.entry(owner.value()).ownership.token);
     }
 
+    /** The progress of a job was written at each end of one of its tasks, and all daemons read it as often. */
+    void writesEndsOfOneStepTogether()
+    {
+        constexpr std::uint32_t tasks = 24;
+        DispatchWorld world(1, 8);
+        world.run(settleTime);
+        const auto before = world.topic.end();
+        for (std::uint32_t n = 0; n < tasks; ++n) {
+            world.scripts[{1, 0, 0, n}] = {{Milliseconds{500 + 50 * n}, RunEnd::Done}};
+        }
+        world.submit(0, 1, jobOf({plainStep(tasks)}));
+        world.run(Milliseconds{3'000});
+        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Completed);
+        constexpr std::uint64_t heartbeats = 3'000 / 300;
+        CPPUNIT_ASSERT(world.topic.end() - before < tasks + heartbeats);
+        for (std::size_t n = 0; n < 8; ++n) {
+            CPPUNIT_ASSERT(!world.worker(n).hasUnacknowledgedEnds());
+        }
+        assertNoViolations(world);
+    }
+
+    /** An end that is not written yet is not acknowledged either, so the next owner learns of it from the worker. */
+    void remembersEndsThatWereNotWrittenYet()
+    {
+        constexpr std::uint32_t tasks = 8;
+        for (int delay = 0; delay < 400; delay += 25) {
+            DispatchWorld world(2, 4);
+            world.run(settleTime);
+            for (std::uint32_t n = 0; n < tasks; ++n) {
+                world.scripts[{1, 0, 0, n}] = {{Milliseconds{300 + 40 * n}, RunEnd::Done}};
+            }
+            world.submit(0, 1, jobOf({plainStep(tasks)}));
+            world.run(Milliseconds{400 + delay});
+            const auto previousOwner = world.owner().value();
+            world.kill(previousOwner);
+            world.run(Milliseconds{6'000});
+            CPPUNIT_ASSERT(world.phaseAt(1 - previousOwner, 1) == JobPhase::Completed);
+            for (std::uint32_t n = 0; n < tasks; ++n) {
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, n}));
+            }
+            assertNoViolations(world);
+        }
+    }
+
     /**
      * A burst of starts filled the owner's narrow link. Orders and polls waited in it, were given up and sent again,
      * until most workers counted as lost although they worked, and tasks that were done were started again.
