--- a/src/codec/compression.cpp
+++ b/src/codec/compression.cpp
@@ -31,6 +31,20 @@
     return context.get();
 }
 
+struct FreeDecompressionContext {
+    void operator()(ZSTD_DCtx *context) const
+    {
+        ZSTD_freeDCtx(context);
+    }
+};
+
+/** Returns the decompression context of this thread, which is reused for the same reason. */
+ZSTD_DCtx *decompressionContext()
+{
+    thread_local const std::unique_ptr<ZSTD_DCtx, FreeDecompressionContext> context(ZSTD_createDCtx());
+    return context.get();
+}
+
 absl::Status malformed(std::string_view what)
 {
     return makeError(absl::StatusCode::kInvalidArgument, Step::ReadLog, "", what);
@@ -57,7 +71,8 @@
         return malformed("content of the zstd frame is too large");
     }
     std::string result(length, '\0');
-    const auto n = ZSTD_decompress(result.data(), result.size(), bytes.data(), bytes.size());
+    const auto n = 
+        ZSTD_decompressDCtx(decompressionContext(), result.data(), result.size(), bytes.data(), bytes.size());
     if (ZSTD_isError(n) != 0 || n != length) {
         return malformed("zstd frame is corrupt");
     }
--- a/src/dispatch/codec/journal_codec.cpp
+++ b/src/dispatch/codec/journal_codec.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/codec/journal_codec.h"
 
 #include "codec/cereal_func.h"
+#include "codec/compression.h"
 #include "core/enum_table.h"
 #include "dispatch/codec/progress_columns.h"
 
@@ -92,11 +93,21 @@
     return rows;
 }
 
+constexpr std::string_view frameStart("\x28\xb5\x2f\xfd"); ///< The first bytes of every zstd frame.
+constexpr std::size_t minCompressedBytes = 256; ///< Progress that takes less is stored as it is.
+constexpr std::size_t maxProgressBytes = 1024 * 1024; ///< Of one record before compression.
+
 /** Returns the encoded value of a record. */
 struct ValueWriter {
+    /** Long progress is compressed, as all daemons read it. Other values never begin like a frame. */
     std::string operator()(const ProgressRecord &it) const
     {
-        return encodeValue(columnsOf(it));
+        auto plain = encodeValue(columnsOf(it));
+        if (plain.size() < minCompressedBytes) {
+            return plain;
+        }
+        auto frame = compressBytes(plain);
+        return frame.empty() ? std::move(plain) : std::move(frame);
     }
 
     template<typename Record>
@@ -106,7 +117,7 @@
     }
 };
 
-absl::StatusOr<JournalRecord> decodeProgress(std::string_view value)
+absl::StatusOr<JournalRecord> decodePlainProgress(std::string_view value)
 {
     const auto columns = decodeValue<ProgressColumns>(value, Step::ReadLog);
     if (!columns.ok()) {
@@ -119,6 +130,15 @@
     return JournalRecord(*std::move(record));
 }
 
+absl::StatusOr<JournalRecord> decodeProgress(std::string_view value)
+{
+    if (!value.starts_with(frameStart)) {
+        return decodePlainProgress(value);
+    }
+    const auto plain = decompressBytes(value, maxProgressBytes);
+    return plain.ok() ? decodePlainProgress(*plain) : plain.status();
+}
+
 template<typename Record>
 absl::StatusOr<JournalRecord> decodeAs(std::string_view value)
 {
--- a/tests/journal_codec_test.cpp
+++ b/tests/journal_codec_test.cpp
@@ -1,8 +1,10 @@
 /** @file journal_codec_test.cpp Encoding and decoding of journal records. */
+#include "codec/cereal_func.h"
 #include "dispatch/codec/journal_codec.h"
 #include "dispatch/codec/progress_columns.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 #include <rapidcheck.h>
 
 using namespace flamingotally;
@@ -35,6 +37,7 @@
     CPPUNIT_TEST_SUITE(JournalCodecTest);
     CPPUNIT_TEST(progressRoundTrips);
     CPPUNIT_TEST(doneTaskTakesOneByte);
+    CPPUNIT_TEST(compressesLongProgress);
     CPPUNIT_TEST(rejectsRowsOfMissingTasksAndUnknownPhases);
     CPPUNIT_TEST(corruptedProgressDecodesOrFails);
     CPPUNIT_TEST_SUITE_END();
@@ -72,6 +75,22 @@
         CPPUNIT_ASSERT_EQUAL(sizeForTen + 20, encodeJournalRecord(record)[0].value.size());
     }
 
+    /** Records of placed tasks, with worker ids as hexadecimal digits, take at most two thirds of their plain size. */
+    void compressesLongProgress()
+    {
+        ProgressRecord record;
+        for (std::uint64_t n = 0; n < 40; ++n) {
+            constexpr std::uint64_t spread = 0x9e3779b97f4a7c15; // makes digits that do not repeat
+            record.tasks.push_back({TaskPhase::Placed, 0, 1, fmt::format("w-{:010x}", (n * spread) >> 24U), {}});
+        }
+        const auto value = encodeJournalRecord(record)[0].value;
+        CPPUNIT_ASSERT(value.size() * 3 < encodeValue(columnsOf(record)).size() * 2);
+        const auto read = decodeJournalRecord(encodeJournalRecord(record)[0].key, value);
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT(std::ranges::equal(std::get<ProgressRecord>(*read).tasks, record.tasks, isSame));
+        CPPUNIT_ASSERT(!decodeJournalRecord("p", value.substr(0, value.size() / 2)).ok());
+    }
+
     void rejectsRowsOfMissingTasksAndUnknownPhases()
     {
         ProgressColumns columns;
