Ask about a group although many other requests are open

Cause: groups whose request to the policy service was open counted against the 64 groups that may need one. Change: only groups without an open request count. Test: requestsAdviceWhileManyRequestsAreOpen, which failed before.

--- a/src/dispatch/policy/group_order.h
+++ b/src/dispatch/policy/group_order.h
@@ -9,14 +9,6 @@
 namespace flamingotally::dispatch
 {
 
-/** Expected completion of an occurrence relative to its objective. Groups with lower values are placed first. */
-enum class Timeliness : std::uint8_t {
-    InTime,
-    Late, ///< The occurrence will miss its objective, but end within three times the objective.
-    TooLate, ///< The occurrence will end too late to be useful; it still runs when capacity is free.
-    End,
-};
-
 /** Properties of a group from which a sort order computes its key. */
 struct GroupView {
     std::uint32_t priority = 0; ///< Priority of the queue; lower values are placed first.
--- a/src/dispatch/systems/placement.cpp
+++ b/src/dispatch/systems/placement.cpp
@@ -91,8 +91,14 @@
     using Key = decltype(Order::key(GroupView{}));
     std::vector<std::pair<Key, GroupRef>> keyed;
     keyed.reserve(entry.work.waiting.size());
+    auto &pass = entry.work.pass;
+    pass.waiting = {};
+    pass.waitingGangs = 0;
     for (const auto it : entry.work.waiting) {
-        keyed.emplace_back(Order::key(viewOf(entry, it, time)), it);
+        const auto view = viewOf(entry, it, time);
+        ++pass.waiting[static_cast<std::size_t>(view.timeliness)];
+        pass.waitingGangs += stepOf(entry, it).gang ? 1 : 0;
+        keyed.emplace_back(Order::key(view), it);
     }
     std::ranges::sort(keyed);
     for (std::size_t n = 0; n < keyed.size(); ++n) {
@@ -191,8 +197,9 @@
             logPlacement(entry, group, placed, time);
         }
         const bool isNew = entry.work.groups.get<GroupAdvice>(group).requestCount == 0;
+        const bool isPending = entry.work.groups.get<GroupAdvice>(group).pendingNumber != 0;
         const bool needsAdvice = policyOf(entry, group).advice.required && (isNew || placer.lacksTickets())
-            && entry.advice.needed.size() < maxNeededGroups && !placer.isAtLimit();
+            && !isPending && entry.advice.needed.size() < maxNeededGroups && !placer.isAtLimit();
         if (needsAdvice && hasWaiting(entry, group)) {
             entry.advice.needed.push_back(group);
         }
--- a/src/dispatch/work_base.h
+++ b/src/dispatch/work_base.h
@@ -1,13 +1,24 @@
 /** @file work_base.h The owner's tables of active work: occurrences, groups of tasks, tasks, runs. */
 #pragma once
 
+#include "core/enum_table.h"
 #include "dispatch/job_base.h"
 
 #include <absl/container/flat_hash_map.h>
 
+#include <array>
+
 namespace flamingotally::dispatch
 {
 
+/** Expected completion of an occurrence relative to its objective. Groups with lower values are placed first. */
+enum class Timeliness : std::uint8_t {
+    InTime,
+    Late, ///< The occurrence will miss its objective, but end within three times the objective.
+    TooLate, ///< The occurrence will end too late to be useful; it still runs when capacity is free.
+    End,
+};
+
 struct OccurrenceTag;
 using OccurrenceRef = Ref<OccurrenceTag>;
 
@@ -143,6 +154,8 @@
     std::vector<PassPool> pools; ///< The workers that accept tasks.
     std::vector<UnplaceableDemand> unplaceable; ///< Demands that were found to be unplaceable.
     std::uint32_t largeReservations = 0; ///< Reservations made in the pass for large tasks that fit on no worker yet.
+    std::array<std::uint32_t, enumSize<Timeliness>> waiting{}; ///< Groups that wait, by their timeliness.
+    std::uint32_t waitingGangs = 0; ///< Those of them that are gangs.
 };
 
 /** All active work. Empty on daemons that are not the owner. */
--- a/tests/dispatch_latency_test.cpp
+++ b/tests/dispatch_latency_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(reportsTheLastKnownStateWhileTheStoreDoesNotRespond);
     CPPUNIT_TEST(requestsAdviceForTheNextStepBeforeItOpens);
     CPPUNIT_TEST(reservesARelayForShortRequestsWhenOthersFail);
+    CPPUNIT_TEST(requestsAdviceWhileManyRequestsAreOpen);
     CPPUNIT_TEST(repeatsAFailedAdviceRequest);
     CPPUNIT_TEST(reservesCapacityForOnePassOnly);
     CPPUNIT_TEST_SUITE_END();
@@ -92,6 +93,32 @@
         assertNoViolations(world);
     }
 
+    /**
+     * Groups whose request was open counted against the bound on groups that need one, so that 64 slow requests kept all
+     * other groups from being asked about, though relays were free.
+     */
+    void requestsAdviceWhileManyRequestsAreOpen()
+    {
+        constexpr JobId slowJobs = 64;
+        constexpr std::size_t daemons = 70;
+        DispatchWorld world(daemons, 8);
+        requireAdvice(world, 20);
+        auto configuration = world.configuration;
+        configuration.queues[0].policy.targetLatency = longPause; // all are in time, so the earliest go first
+        world.publish(configuration);
+        world.run(settleTime);
+        const auto owner = world.owner().value();
+        for (JobId job = 1; job <= slowJobs; ++job) {
+            world.adviceTimes[job] = Milliseconds{3'000};
+            world.submit(owner, job, jobOf({plainStep(1)}));
+        }
+        world.run(Milliseconds{200});
+        world.submit(owner, slowJobs + 1, jobOf({plainStep(1)}));
+        world.run(Milliseconds{300});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({slowJobs + 1, 0, 0, 0}));
+        assertNoViolations(world);
+    }
+
     void repeatsAFailedAdviceRequest()
     {
         DispatchWorld world(3, 2);
