Keep no capacity for gangs that fit nowhere

Change: a gang whose tasks would not fit even on empty workers that may run it gets no reservation. Test: gangsThatFitNowhereKeepNoCapacityFromOthers, which failed before.

--- a/src/codec/compression.cpp
+++ b/src/codec/compression.cpp
@@ -71,7 +71,7 @@
         return malformed("content of the zstd frame is too large");
     }
     std::string result(length, '\0');
-    const auto n = 
+    const auto n =
         ZSTD_decompressDCtx(decompressionContext(), result.data(), result.size(), bytes.data(), bytes.size());
     if (ZSTD_isError(n) != 0 || n != length) {
         return malformed("zstd frame is corrupt");
--- a/src/dispatch/policy/placer.h
+++ b/src/dispatch/policy/placer.h
@@ -6,6 +6,7 @@
 #include "dispatch/work_func.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace flamingotally::dispatch
 {
@@ -110,7 +111,8 @@
             }
         }
         const auto waited = m_time.now - m_entry.work.groups.get<GroupState>(m_group).openedAt;
-        if (waiting > 0 && waited > largeTaskWait && m_entry.work.pass.largeReservations < maxLargeReservations) {
+        const bool mayReserve = waited > largeTaskWait && m_entry.work.pass.largeReservations < maxLargeReservations;
+        if (waiting > 0 && mayReserve && !isBeyondPool(waiting)) {
             reserveForLargeTask();
         }
     }
@@ -286,14 +288,59 @@
             || (capacity.accelerators > 0 && m_demand.accelerators * largeDivisor > capacity.accelerators);
     }
 
-    /** Returns true if the step needs no ticket, or the worker was granted one that may have expired since. */
-    bool isPermitted(const std::string &id) const
+    /** Whether the policy service allows a worker to run the step. */
+    enum class Permission : std::uint8_t {
+        Granted, ///< It does, or the step needs no ticket; a ticket may have expired since.
+        Undecided, ///< It has not been asked.
+        Refused,
+    };
+
+    Permission permissionOf(const std::string &id) const
     {
         if (!m_policy.advice.required) {
-            return true;
+            return Permission::Granted;
         }
         const auto it = m_tickets.find(id);
-        return it != m_tickets.end() && it->second.granted;
+        if (it == m_tickets.end()) {
+            return Permission::Undecided;
+        }
+        return it->second.granted ? Permission::Granted : Permission::Refused;
+    }
+
+    /** Returns how many tasks of the group a worker with the given capacity could run if it ran nothing else. */
+    std::size_t tasksOnEmptyWorker(const Resources &capacity) const
+    {
+        const auto times = [](std::int64_t has, std::int64_t needs) {
+            return needs > 0 ? has / needs : std::numeric_limits<std::int64_t>::max();
+        };
+        const auto n = std::min({times(capacity.cpuMilli, m_demand.cpuMilli),
+                                 times(capacity.memoryMb, m_demand.memoryMb),
+                                 times(capacity.accelerators, m_demand.accelerators),
+                                 std::int64_t{std::numeric_limits<std::uint16_t>::max()}});
+        const auto limit = m_step.maxPerWorker == 0 ? n : std::min<std::int64_t>(n, m_step.maxPerWorker);
+        return static_cast<std::size_t>(limit);
+    }
+
+    /**
+     * Returns true if the group's waiting tasks would find no place even on empty workers: a gang needs more workers
+     * than there are which may run it. Capacity reserved for it would be kept from others for nothing.
+     */
+    bool isBeyondPool(std::size_t waiting) const
+    {
+        if (!m_step.gang) {
+            return false;
+        }
+        std::size_t places = 0;
+        for (const auto worker : poolWorkers()) {
+            const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
+            if (hasLabel(identity) && permissionOf(identity.id) != Permission::Refused) {
+                places += tasksOnEmptyWorker(identity.capacity);
+            }
+            if (places >= waiting) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** Reserves capacity for a large task on the worker that is closest to having enough of it free. */
@@ -304,8 +351,8 @@
         for (const auto worker : poolWorkers()) {
             const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
             const bool isCandidate = isLargeOn(identity.capacity) && m_demand.fitsInto(identity.capacity)
-                && reservedOn(worker) == Resources{} && hasLabel(identity) && isPermitted(identity.id)
-                && isBelowWorkerLimit(worker);
+                && reservedOn(worker) == Resources{} && hasLabel(identity)
+                && permissionOf(identity.id) == Permission::Granted && isBelowWorkerLimit(worker);
             if (!isCandidate) {
                 continue;
             }
--- a/tests/dispatch_latency_test.cpp
+++ b/tests/dispatch_latency_test.cpp
@@ -94,8 +94,8 @@
     }
 
     /**
-     * Groups whose request was open counted against the bound on groups that need one, so that 64 slow requests kept all
-     * other groups from being asked about, though relays were free.
+     * Groups whose request was open counted against the bound on groups that need one, so that 64 slow requests kept
+     * all other groups from being asked about, though relays were free.
      */
     void requestsAdviceWhileManyRequestsAreOpen()
     {
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(restartsEndlessTasks);
     CPPUNIT_TEST(keepsATeamWithinItsLimit);
     CPPUNIT_TEST(startsAllTasksOfAGangOrNone);
+    CPPUNIT_TEST(gangsThatFitNowhereKeepNoCapacityFromOthers);
     CPPUNIT_TEST(runsOccurrencesWhenTheyAreDue);
     CPPUNIT_TEST(ignoresBriefJumpsOfTheWallClock);
     CPPUNIT_TEST(delaysAdmissionWhileTheConfigurationIsStale);
@@ -155,6 +156,37 @@
         assertNoViolations(world);
     }
 
+    /**
+     * Gangs that need more workers than there are had capacity reserved in each pass, one worker each, so that less
+     * urgent work never found any.
+     */
+    void gangsThatFitNowhereKeepNoCapacityFromOthers()
+    {
+        constexpr std::size_t workers = 3;
+        DispatchWorld world(1, workers);
+        auto configuration = plainConfiguration();
+        configuration.queues[0].policy.targetLatency = Milliseconds{600'000};
+        auto low = configuration.queues[0];
+        low.name = "low";
+        low.pathPrefix = "/low/";
+        low.policy.priority = 2;
+        configuration.queues.push_back(low);
+        world.publish(configuration);
+        world.run(Milliseconds{2'000});
+        auto gang = plainStep(workers + 1);
+        gang.gang = true;
+        gang.perTask = world.worker(0).capacity();
+        for (JobId job = 1; job <= workers; ++job) {
+            world.submit(0, job, jobOf({gang}));
+        }
+        world.run(Milliseconds{1'000});
+        world.submitTo("/low/", 0, workers + 1, jobOf({plainStep(2)}));
+        world.run(Milliseconds{1'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({workers + 1, 0, 0, 0}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({workers + 1, 0, 0, 1}));
+        assertNoViolations(world);
+    }
+
     void runsOccurrencesWhenTheyAreDue()
     {
         DispatchWorld world(2, 2);
