Hand ownership over when the owner's host cannot keep up

Change: an owner whose ticks run late by 80 ms on average for a second releases ownership and claims nothing for 10 s. Tests: slowOwnerHandsOverOnce (failed before), ownerThatWasPausedBrieflyStays.

--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -109,6 +109,9 @@
     MonotonicTime storedBatchSentAt{}; ///< While owner: when the newest of its stored batches was sent.
     Token resigned = 0; ///< Highest fencing token under which this daemon owned the cell and lost or released it.
     MonotonicTime backoffUntil{}; ///< This daemon claims nothing before this time.
+    Milliseconds tickDelay{0}; ///< Smoothed delay of ticks behind the time at which they had to run.
+    /** Since when ticks of this owner have been delayed so much that it cannot keep up; zero while it can. */
+    MonotonicTime overloadedSince{};
     std::map<std::string, DaemonRecord> daemons; ///< By name.
 };
 
@@ -304,6 +307,7 @@
     Inbox inbox;
     Outbox outbox;
     MonotonicTime tickedAt{}; ///< Time of the last tick.
+    MonotonicTime dueTickAt{}; ///< When the current tick had to run at the latest.
     MonotonicTime nextWake{}; ///< The next tick must run no later than this; each tick sets it anew.
     MonotonicTime nextRetentionScanAt{}; ///< Next search for jobs whose retention period has passed.
     bool ownRecordQueued = false; ///< The daemon has queued its own DaemonRecord since its start.
--- a/src/dispatch/systems/ownership.cpp
+++ b/src/dispatch/systems/ownership.cpp
@@ -24,6 +24,11 @@
 constexpr Milliseconds yieldDelay{2'000};
 /** The same for an owner that claimed after a release: the larger hosts did not claim then and may be unreachable. */
 constexpr Milliseconds yieldDelayAfterRelease{15'000};
+/** An owner whose ticks are delayed by more than this on average is overloaded. */
+constexpr Milliseconds overloadDelay{80};
+/** An owner that has been overloaded for this long releases ownership. */
+constexpr Milliseconds overloadPeriod{1'000};
+constexpr Milliseconds overloadBackoff{10'000}; ///< Such an owner claims nothing for this long.
 /** Time for larger hosts to read the release; this daemon claims nothing during it. */
 constexpr Milliseconds yieldBackoff{1'500};
 /**
@@ -136,6 +141,44 @@
     return true;
 }
 
+/** Measures how late ticks run. A single long delay, as after a pause of the process, counts no more than others. */
+void measureTickDelay(Entry &entry, const TickTime &time)
+{
+    constexpr Milliseconds longestCounted{300};
+    constexpr int weight = 8; // of the earlier delays, to one of the new one
+    auto &ownership = entry.ownership;
+    const auto late = Milliseconds(time.now - entry.dueTickAt);
+    const auto delay = std::clamp(late, Milliseconds{0}, longestCounted);
+    ownership.tickDelay = (ownership.tickDelay * (weight - 1) + delay) / weight;
+    if (ownership.tickDelay < overloadDelay) {
+        ownership.overloadedSince = {};
+    } else if (ownership.overloadedSince == MonotonicTime{}) {
+        ownership.overloadedSince = time.now;
+    }
+}
+
+/**
+ * Returns true if this owner's host is too slow to keep up, so that another one should own the cell; this daemon then
+ * claims nothing for a while.
+ */
+bool isOverloaded(Entry &entry, const TickTime &time)
+{
+    auto &ownership = entry.ownership;
+    const auto since = std::max(ownership.overloadedSince, ownership.claimedAt);
+    if (ownership.overloadedSince == MonotonicTime{} || time.now - since < overloadPeriod
+        || ownership.daemons.size() < 2) {
+        return false;
+    }
+    logEvent(entry,
+             EventKind::OwnerOverloaded,
+             0,
+             "tick_delay_ms={} overloaded_ms={}",
+             ownership.tickDelay.count(),
+             (time.now - ownership.overloadedSince).count());
+    ownership.backoffUntil = time.now + overloadBackoff;
+    return true;
+}
+
 /** Queues a heartbeat if the owner's writer has sent nothing for the heartbeat interval and has nothing to send. */
 void writeHeartbeat(Entry &entry, const TickTime &time)
 {
@@ -160,6 +203,7 @@
         queueRecord(entry, JournalWriter::Entry, ownRecord(entry));
     }
     auto &ownership = entry.ownership;
+    measureTickDelay(entry, time);
     switch (ownership.phase) {
     case OwnerPhase::Follower:
         if (isClaimDue(entry, time)) {
@@ -167,7 +211,7 @@
         }
         break;
     case OwnerPhase::Owner:
-        if (entry.phase == EntryPhase::Draining || isYieldDue(entry, time)) {
+        if (entry.phase == EntryPhase::Draining || isYieldDue(entry, time) || isOverloaded(entry, time)) {
             queueRecord(entry, JournalWriter::Owner, ClaimRecord{{}, 0, ownership.token});
             ownership.phase = OwnerPhase::Releasing;
             break;
--- a/src/dispatch/systems/tick.cpp
+++ b/src/dispatch/systems/tick.cpp
@@ -26,6 +26,7 @@
 void tick(Entry &entry, const TickTime &time)
 {
     ++entry.counters.ticks;
+    entry.dueTickAt = entry.nextWake == MonotonicTime{} ? time.now : entry.nextWake;
     entry.nextWake = time.now + longestSleep;
     wallClockSystem(entry, time);
     configSystem(entry, time);
--- a/tests/dispatch_failure_test.cpp
+++ b/tests/dispatch_failure_test.cpp
@@ -37,6 +37,8 @@
     CPPUNIT_TEST(startsNothingOnAStaleView);
     CPPUNIT_TEST(smallHostCedesOwnershipToALargerOne);
     CPPUNIT_TEST(ownershipIsStableAmongSmallHostsWhenLargerOnesAreGone);
+    CPPUNIT_TEST(slowOwnerHandsOverOnce);
+    CPPUNIT_TEST(ownerThatWasPausedBrieflyStays);
     CPPUNIT_TEST(writesEndsOfOneStepTogether);
     CPPUNIT_TEST(remembersEndsThatWereNotWrittenYet);
     CPPUNIT_TEST(startsEachRunOnceOverANarrowLink);
@@ -403,6 +405,42 @@
         CPPUNIT_ASSERT_EQUAL(token, world.entry(owner.value()).ownership.token);
     }
 
+    /** An owner on a host that had become slow kept the cell, though others could have decided. */
+    void slowOwnerHandsOverOnce()
+    {
+        constexpr std::uint32_t tasks = 8;
+        DispatchWorld world(3, 4);
+        world.run(settleTime);
+        const auto slow = world.owner().value();
+        world.tickTimes[slow] = Milliseconds{300};
+        for (JobId job = 1; job <= 10; ++job) {
+            world.submit((slow + 1) % 3, job, jobOf({plainStep(tasks)}));
+        }
+        world.run(Milliseconds{4'000});
+        CPPUNIT_ASSERT(world.owner().has_value());
+        CPPUNIT_ASSERT(world.owner().value() != slow);
+        const auto next = world.owner().value();
+        world.run(Milliseconds{20'000});
+        CPPUNIT_ASSERT_EQUAL(next, world.owner().value());
+        for (JobId job = 1; job <= 10; ++job) {
+            CPPUNIT_ASSERT(world.phaseAt(next, job) == JobPhase::Completed);
+        }
+        assertNoViolations(world);
+    }
+
+    /** A pause of half a second is shorter than any hand-over. */
+    void ownerThatWasPausedBrieflyStays()
+    {
+        DispatchWorld world(3, 2);
+        world.run(settleTime);
+        const auto owner = world.owner().value();
+        world.freeze(owner, Milliseconds{500});
+        world.run(Milliseconds{5'000});
+        CPPUNIT_ASSERT_EQUAL(owner, world.owner().value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world.entry(owner).counters.resignations);
+        assertNoViolations(world);
+    }
+
     /** The progress of a job was written at each end of one of its tasks, and all daemons read it as often. */
     void writesEndsOfOneStepTogether()
     {
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -180,6 +180,9 @@
     }
     WorldPorts ports(*this, daemon);
     runTick(it.entry, ports, ports, ports, ports, ports, ports, ports);
+    if (const auto slow = tickTimes.find(daemon); slow != tickTimes.end()) {
+        it.frozenUntil = m_queue.now() + slow->second;
+    }
     const auto next = std::max(it.entry.nextWake.time_since_epoch(), m_queue.now() + Milliseconds{1});
     it.wakeAt = next;
     m_queue.at(next, [this, daemon, next, incarnation = it.incarnation] {
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -118,6 +118,7 @@
     std::map<dispatch::TaskName, std::vector<standin::RunScript>> scripts;
     std::map<std::size_t, StoreMode> storeModes; ///< By daemon.
     std::map<std::size_t, LinkMode> linkModes; ///< By worker.
+    std::map<std::size_t, Milliseconds> tickTimes; ///< How long a tick of a daemon takes, by daemon; else no time.
     std::set<std::size_t> daemonsWithoutConfig; ///< Indexes of the daemons whose reads of the configuration fail.
     dispatch::Configuration configuration;
     std::vector<std::string> domainsOut;
