Evaluate no workers for groups without a valid ticket

Change: a group whose tickets have all expired is passed over and asks for advice. The load line and a metric count the workers that passes evaluate. Test: evaluatesNoWorkersForGroupsWithoutAValidTicket, which failed before.

--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -260,6 +260,7 @@
     std::uint64_t unansweredOrders = 0; ///< Start orders that got no response.
     std::uint64_t batches = 0; ///< Batches sent to the journal, including repeated sends.
     std::uint64_t adviceRequests = 0; ///< Requests sent to the policy service.
+    std::uint64_t workersEvaluated = 0; ///< Workers evaluated for a group in placement passes.
     std::uint64_t droppedLines = 0; ///< Log lines that were dropped because the buffer was full.
     TrafficByKind traffic{};
 
@@ -278,6 +279,7 @@
 struct LoadReport {
     MonotonicTime dueAt{}; ///< Time of the next line.
     TrafficByKind traffic{}; ///< Traffic at the last line.
+    std::uint64_t workersEvaluated = 0; ///< EntryCounters::workersEvaluated at the last line.
     Milliseconds longestTick{0}; ///< Since the last line.
 };
 
--- a/src/dispatch/net/entry_metrics.cpp
+++ b/src/dispatch/net/entry_metrics.cpp
@@ -73,6 +73,11 @@
                [](const Entry &it) {
                    return it.counters.adviceRequests;
                }},
+    CounterRow{"flamingotally_evaluated_workers_total",
+               "Workers evaluated for a group in placement passes.",
+               [](const Entry &it) {
+                   return it.counters.workersEvaluated;
+               }},
     CounterRow{"flamingotally_ownership_claims_total",
                "Claims of ownership that this daemon queued.",
                [](const Entry &it) {
--- a/src/dispatch/policy/placer.h
+++ b/src/dispatch/policy/placer.h
@@ -60,7 +60,14 @@
      */
     std::uint32_t place()
     {
-        return isUnplaceable() ? 0 : m_step.gang ? placeGang() : placeSingles();
+        if (isUnplaceable()) {
+            return 0;
+        }
+        if (!hasValidTickets()) {
+            m_lacksTickets = true;
+            return 0;
+        }
+        return m_step.gang ? placeGang() : placeSingles();
     }
 
     /** Returns true if place() found a worker that lacked only a ticket. */
@@ -126,6 +133,13 @@
     /** Minimum remaining validity of a ticket, so that the start order arrives in time. */
     static constexpr Milliseconds ticketMargin{200};
 
+    /** Returns false if no worker can have a valid ticket, so that searching for one would be in vain. */
+    bool hasValidTickets() const
+    {
+        const auto validUntil = m_entry.work.groups.get<GroupAdvice>(m_group).validUntil;
+        return !m_policy.advice.required || validUntil - ticketMargin > m_time.now;
+    }
+
     /** Returns true if a worker belongs to the group's pool and has the required label. */
     bool matches(const WorkerIdentity &identity) const
     {
@@ -194,11 +208,8 @@
     void findCandidates()
     {
         m_isSearched = true;
-        if (m_policy.advice.required && m_tickets.empty()) {
-            m_lacksTickets = true;
-            return;
-        }
         bool anyCapacity = false;
+        m_entry.counters.workersEvaluated += poolWorkers().size();
         for (const auto worker : poolWorkers()) {
             const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
             if (!hasCapacity(worker) || !hasLabel(identity)) {
--- a/src/dispatch/systems/advice.cpp
+++ b/src/dispatch/systems/advice.cpp
@@ -168,6 +168,9 @@
     for (const auto &id : request.workers) {
         advice.tickets[id] = {};
     }
+    if (!response.granted.empty()) {
+        advice.validUntil = std::max(advice.validUntil, response.sentAt + validity);
+    }
     for (const auto &row : response.granted) {
         advice.tickets[row.worker] = {true, row.ticket, response.sentAt + validity, incarnationOf(row.worker)};
     }
--- a/src/dispatch/systems/load_report.cpp
+++ b/src/dispatch/systems/load_report.cpp
@@ -39,27 +39,28 @@
     const auto waitingAs = [&entry](Timeliness timeliness) {
         return entry.work.pass.waiting[static_cast<std::size_t>(timeliness)];
     };
-    return fmt::format(
-        " token={} workers={} silent={} polls_in_flight={} orders_in_flight={} "
-        "orders_waiting={} order_window={} typical_response_ms={} link_in_doubt={} "
-        "groups_waiting={} in_time={} late={} too_late={} gangs={} runs={} queued_records={} advice_in_flight={}",
-        entry.ownership.token,
-        workers.silence.listed,
-        workers.silence.silent,
-        it.polls,
-        it.orders,
-        workers.pacing.waiting,
-        workers.pacing.window,
-        typicalResponse(workers.pacing).count(),
-        isLinkInDoubt(entry, time),
-        entry.work.waiting.size(),
-        waitingAs(Timeliness::InTime),
-        waitingAs(Timeliness::Late),
-        waitingAs(Timeliness::TooLate),
-        entry.work.pass.waitingGangs,
-        entry.work.runs.size(),
-        entry.writers[static_cast<std::size_t>(JournalWriter::Owner)].queue.size(),
-        entry.advice.pending.size());
+    return fmt::format(" token={} workers={} silent={} polls_in_flight={} orders_in_flight={} "
+                       "orders_waiting={} order_window={} typical_response_ms={} link_in_doubt={} "
+                       "groups_waiting={} in_time={} late={} too_late={} gangs={} runs={} queued_records={} "
+                       "advice_in_flight={} workers_evaluated={}",
+                       entry.ownership.token,
+                       workers.silence.listed,
+                       workers.silence.silent,
+                       it.polls,
+                       it.orders,
+                       workers.pacing.waiting,
+                       workers.pacing.window,
+                       typicalResponse(workers.pacing).count(),
+                       isLinkInDoubt(entry, time),
+                       entry.work.waiting.size(),
+                       waitingAs(Timeliness::InTime),
+                       waitingAs(Timeliness::Late),
+                       waitingAs(Timeliness::TooLate),
+                       entry.work.pass.waitingGangs,
+                       entry.work.runs.size(),
+                       entry.writers[static_cast<std::size_t>(JournalWriter::Owner)].queue.size(),
+                       entry.advice.pending.size(),
+                       entry.counters.workersEvaluated - entry.loadReport.workersEvaluated);
 }
 
 /** Returns calls/failed/sent bytes/received bytes of each kind of traffic since the last line. */
@@ -102,7 +103,7 @@
                  entry.isOwner() ? describeOwner(entry, time) : std::string(),
                  describeTraffic(entry));
     }
-    report = {time.now + interval, entry.counters.traffic, Milliseconds{0}};
+    report = {time.now + interval, entry.counters.traffic, entry.counters.workersEvaluated, Milliseconds{0}};
 }
 
 } // namespace flamingotally::dispatch
--- a/src/dispatch/work_base.h
+++ b/src/dispatch/work_base.h
@@ -73,6 +73,7 @@
 /** Decisions of the policy service about the workers for a group. */
 struct GroupAdvice {
     absl::flat_hash_map<std::string, Ticket> tickets; ///< By the id of the worker.
+    MonotonicTime validUntil{}; ///< No ticket is valid after this time.
     std::uint64_t pendingNumber = 0; ///< Number of the request in flight; zero for none.
     std::uint32_t requestCount = 0; ///< Number of requests sent for the group.
     MonotonicTime respondedAt{}; ///< When the last response arrived; zero before.
--- a/tests/dispatch_latency_test.cpp
+++ b/tests/dispatch_latency_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(requestsAdviceForTheNextStepBeforeItOpens);
     CPPUNIT_TEST(reservesARelayForShortRequestsWhenOthersFail);
     CPPUNIT_TEST(requestsAdviceWhileManyRequestsAreOpen);
+    CPPUNIT_TEST(evaluatesNoWorkersForGroupsWithoutAValidTicket);
     CPPUNIT_TEST(repeatsAFailedAdviceRequest);
     CPPUNIT_TEST(reservesCapacityForOnePassOnly);
     CPPUNIT_TEST_SUITE_END();
@@ -119,6 +120,34 @@
         assertNoViolations(world);
     }
 
+    /** Each pass evaluated all workers of the pool for each group whose tickets had expired. */
+    void evaluatesNoWorkersForGroupsWithoutAValidTicket()
+    {
+        constexpr JobId jobs = 30;
+        DispatchWorld world(2, 2);
+        requireAdvice(world, 20);
+        world.refusedWorkers = {"w1"};
+        world.run(settleTime);
+        auto step = plainStep(1);
+        step.perTask = world.worker(0).capacity();
+        for (JobId job = 1; job <= jobs; ++job) {
+            world.scripts[{job, 0, 0, 0}] = {{Milliseconds{20'000}, RunEnd::Done}};
+            world.submit(0, job, jobOf({step}));
+        }
+        world.run(Milliseconds{4'000});
+        const auto &counters = world.entry(world.owner().value()).counters;
+        const auto before = counters.workersEvaluated;
+        world.run(Milliseconds{2'000});
+        CPPUNIT_ASSERT_EQUAL(before, counters.workersEvaluated);
+        world.run(Milliseconds{40'000});
+        std::size_t starts = 0;
+        for (JobId job = 1; job <= jobs; ++job) {
+            starts += world.startsOf({job, 0, 0, 0});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, starts); // one after the other, 20 s each
+        assertNoViolations(world);
+    }
+
     void repeatsAFailedAdviceRequest()
     {
         DispatchWorld world(3, 2);
