Read numbers that are out of range as such

Cause: found by reading. A count beyond 32 bits was cut off, so that a job of 4,294,967,301 tasks was accepted as one of five; a fraction beyond 64 bits was cast, which the language does not define; a worker's clock of any size was added to leases. Test: readsNumbersOutOfRange, which failed before.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -132,6 +132,7 @@
 class PlatformTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(PlatformTest);
+    CPPUNIT_TEST(readsNumbersOutOfRange);
     CPPUNIT_TEST(runsAJobOfTwoSteps);
     CPPUNIT_TEST(rejectsUnknownNamesAndMalformedJobs);
     CPPUNIT_TEST(failsJobsThatFailOnEveryWorker);
@@ -146,6 +147,28 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /** Counts beyond 32 bits were cut off, so that a job of over four thousand million tasks became one of five. */
+    void readsNumbersOutOfRange()
+    {
+        const auto countOf = [](std::string_view number) {
+            const auto spec = platform::decodeJob(fmt::format(R"({{"spec":"text","steps":[{{"count":{}}}]}})", number));
+            CPPUNIT_ASSERT(spec.has_value());
+            return spec->steps.at(0).count;
+        };
+        constexpr auto largest = std::numeric_limits<std::uint32_t>::max();
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{5}, countOf("5"));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{5}, countOf("5.9"));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, countOf("-5"));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, countOf("\"5\""));
+        CPPUNIT_ASSERT_EQUAL(largest, countOf("4294967301"));
+        CPPUNIT_ASSERT_EQUAL(largest, countOf("1e300"));
+        CPPUNIT_ASSERT_EQUAL(largest, countOf("18446744073709551615"));
+        const auto spec =
+            platform::decodeJob(R"({"spec":"text","steps":[{"count":1,"cpu":1e300,"estRuntimeMs":-1e300}]})");
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, spec->steps.at(0).perTask.cpuMilli);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, static_cast<std::int64_t>(spec->steps.at(0).runEstimate.count()));
+    }
+
     void runsAJobOfTwoSteps()
     {
         PlatformFixture fixture(2);
