--- a/src/dispatch/entry.cpp
+++ b/src/dispatch/entry.cpp
@@ -75,6 +75,23 @@
     writer.latency = latency;
 }
 
+void recoverFromError(Entry &entry, std::string_view what, MonotonicTime now)
+{
+    constexpr Milliseconds pause{100};
+    entry.inbox = {};
+    entry.outbox = {};
+    logEvent(entry, EventKind::UnexpectedError, 0, "what=\"{}\" owner={}", what, entry.isOwner());
+    if (entry.ownership.phase != OwnerPhase::Follower) {
+        resign(entry, "unexpected error");
+    }
+    entry.journal = {};
+    for (auto &writer : entry.writers) {
+        writer.mayBeStored = writer.mayBeStored || writer.inFlight;
+        writer.inFlight = false;
+    }
+    entry.nextWake = now + pause;
+}
+
 Milliseconds wallAt(const Entry &entry, MonotonicTime at)
 {
     return at.time_since_epoch() + entry.wall.offset;
--- a/src/dispatch/entry_func.h
+++ b/src/dispatch/entry_func.h
@@ -52,6 +52,13 @@
  */
 void resign(Entry &entry, std::string_view cause);
 
+/**
+ * Makes this daemon begin anew after an unexpected error in a tick: it drops the messages of the tick, gives up
+ * ownership and loads the journal again. Batches that it may have sent are sent again; the store recognizes them.
+ * @param what What the error says of itself, for the log.
+ */
+void recoverFromError(Entry &entry, std::string_view what, MonotonicTime now);
+
 /** Converts a monotonic time to wall time since the Unix epoch. */
 Milliseconds wallAt(const Entry &entry, MonotonicTime at);
 
--- a/src/dispatch/event_type.h
+++ b/src/dispatch/event_type.h
@@ -41,6 +41,8 @@
     AdviceFailed,
     StrayRun,
     Load,
+    UnexpectedError,
+    SettingsRejected,
     End,
 };
 
@@ -79,6 +81,8 @@
     {EventKind::AdviceFailed, "advice_failed", LogLevel::Warning},
     {EventKind::StrayRun, "stray_run", LogLevel::Warning},
     {EventKind::Load, "load", LogLevel::Info},
+    {EventKind::UnexpectedError, "unexpected_error", LogLevel::Error},
+    {EventKind::SettingsRejected, "settings_rejected", LogLevel::Warning},
 }};
 static_assert(isComplete(eventKindTable));
 
--- a/src/dispatch/runtime.h
+++ b/src/dispatch/runtime.h
@@ -1,9 +1,11 @@
 /** @file runtime.h Runs one tick of an entry daemon and passes the outbox and the owner status to the ports. */
 #pragma once
 
+#include "dispatch/entry_func.h"
 #include "dispatch/ports.h"
 #include "dispatch/systems/systems.h"
 
+#include <exception>
 #include <utility>
 
 namespace flamingotally::dispatch
@@ -65,4 +67,15 @@
     }
 }
 
+/** Runs one tick like runTick(). After an unexpected error the daemon begins anew instead of ending. */
+template<typename ClockT, typename... Ports>
+void runTickSafely(Entry &entry, const ClockT &clock, Ports &...ports)
+{
+    try {
+        runTick(entry, clock, ports...);
+    } catch (const std::exception &error) {
+        recoverFromError(entry, error.what(), clock.now());
+    }
+}
+
 } // namespace flamingotally::dispatch
--- a/tests/dispatch_failure_test.cpp
+++ b/tests/dispatch_failure_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(startsNothingOnAStaleView);
     CPPUNIT_TEST(smallHostCedesOwnershipToALargerOne);
     CPPUNIT_TEST(ownershipIsStableAmongSmallHostsWhenLargerOnesAreGone);
+    CPPUNIT_TEST(survivesAnUnexpectedError);
     CPPUNIT_TEST(slowOwnerHandsOverOnce);
     CPPUNIT_TEST(ownerThatWasPausedBrieflyStays);
     CPPUNIT_TEST(writesEndsOfOneStepTogether);
@@ -405,6 +406,24 @@
         CPPUNIT_ASSERT_EQUAL(token, world.entry(owner.value()).ownership.token);
     }
 
+    /** An unexpected error ended the process; now the daemon begins anew, and nothing accepted is lost or run twice. */
+    void survivesAnUnexpectedError()
+    {
+        DispatchWorld world(2, 2);
+        world.run(settleTime);
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{2'000}, RunEnd::Done}};
+        world.submit(0, 1, jobOf({plainStep(1), plainStep(2, {0})}));
+        world.run(Milliseconds{300});
+        const auto owner = world.owner().value();
+        world.daemonsWithError = {0, 1};
+        world.run(Milliseconds{8'000});
+        CPPUNIT_ASSERT(world.owner().has_value());
+        CPPUNIT_ASSERT(world.phaseAt(owner, 1) == JobPhase::Completed);
+        CPPUNIT_ASSERT(world.phaseAt(1 - owner, 1) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
+        assertNoViolations(world);
+    }
+
     /** An owner on a host that had become slow kept the cell, though others could have decided. */
     void slowOwnerHandsOverOnce()
     {
--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace flamingotally::fakes
 {
@@ -41,6 +42,9 @@
 
     void read(const JournalReadRequest &request)
     {
+        if (m_world.daemonsWithError.erase(m_daemon) > 0) {
+            throw std::runtime_error("injected");
+        }
         const auto sentAt = now();
         if (mode() == StoreMode::Silent) {
             deliverLater(Milliseconds{700},
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -179,7 +179,7 @@
         return;
     }
     WorldPorts ports(*this, daemon);
-    runTick(it.entry, ports, ports, ports, ports, ports, ports, ports);
+    runTickSafely(it.entry, ports, ports, ports, ports, ports, ports, ports);
     if (const auto slow = tickTimes.find(daemon); slow != tickTimes.end()) {
         it.frozenUntil = m_queue.now() + slow->second;
     }
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -125,6 +125,7 @@
     std::set<std::string> refusedWorkers; ///< Ids of the workers that get no ticket from the policy service.
     /** Response time of the policy service, by job; 20 ms for jobs that are not in the map. */
     std::map<dispatch::JobId, Milliseconds> adviceTimes;
+    std::set<std::size_t> daemonsWithError; ///< The next read of the journal by such a daemon throws, once.
     std::size_t requestsToFail = 0; ///< This many of the next requests to the policy service fail.
     /** Time of the first request to the policy service, by job and step. */
     std::map<std::pair<dispatch::JobId, std::uint32_t>, Milliseconds> adviceRequestedAt;
