Ask about no more workers than the policy service accepts

Change: renewals for as many workers as tasks wait, and four more; no request names more than 100. Test: asksAboutNoMoreWorkersThanTheServiceAccepts, which failed before; the fake service now rejects long requests.

--- a/src/dispatch/systems/advice.cpp
+++ b/src/dispatch/systems/advice.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr std::size_t workersPerRequest = 40; ///< Up to this size a request is filled with workers without a decision.
+constexpr std::size_t maxWorkersPerRequest = 100; ///< The service rejects longer requests.
 /** Maximum short requests in flight through one relay. The service serves the requests of one host sequentially. */
 constexpr std::uint32_t shortRequestsPerRelay = 4;
 constexpr double longRequestMs = 100; ///< Requests that take longer are long; a relay sends only one of them at a time.
@@ -20,7 +21,7 @@
 /** Added to the time that the service is expected to take; the sum is the time-out. */
 constexpr Milliseconds responseSlack{500};
 constexpr Milliseconds relayPause{3'000}; ///< A relay gets no requests for this long after a failure.
-/** Workers whose tickets are renewed in addition to one for each task of the group. */
+/** Workers whose tickets are renewed in addition to one for each waiting task of the group. */
 constexpr std::size_t spareWorkers = 4;
 
 /** Returns true if a relay can send another request that takes the given time, in addition to those in flight. */
@@ -73,6 +74,14 @@
     return best;
 }
 
+/** Returns the number of tasks of a group that wait to be placed. */
+std::size_t waitingTasks(const Entry &entry, GroupRef group)
+{
+    const auto &tasks = entry.work.groups.get<GroupState>(group).tasks;
+    return static_cast<std::size_t>(std::ranges::count_if(
+        tasks, [&](TaskRef it) { return entry.work.tasks.get<TaskState>(it).phase == TaskPhase::Waiting; }));
+}
+
 /** Ids of the workers to include in a request. */
 struct RequestWorkers {
     std::vector<std::string> all;
@@ -81,8 +90,8 @@
 
 /**
  * Chooses the workers for a request about a group:
- * - first all workers with a placed run of the group whose ticket has expired;
- * - then workers with an expired ticket and free capacity for a task, up to the number of tasks plus `spareWorkers`;
+ * - first the workers with a placed run of the group whose ticket has expired;
+ * - then workers with an expired ticket and free capacity for a task, up to the waiting tasks plus `spareWorkers`;
  * - then workers that the service has not decided on and that could run a task, up to `workersPerRequest` in total.
  * Workers of the second and of the third kind are each sorted by free processor capacity, the largest first.
  */
@@ -107,10 +116,11 @@
     std::ranges::sort(renewable);
     RequestWorkers workers;
     workers.renewing = entry.work.groups.get<GroupAdvice>(group).workersToRenew;
-    const auto tasks = entry.work.groups.get<GroupState>(group).tasks.size();
-    for (std::size_t n = 0; n < renewable.size() && n < tasks + spareWorkers; ++n) {
+    const auto wanted = waitingTasks(entry, group) + spareWorkers;
+    for (std::size_t n = 0; n < renewable.size() && n < wanted; ++n) {
         workers.renewing.push_back(std::move(renewable[n].second));
     }
+    workers.renewing.resize(std::min(workers.renewing.size(), maxWorkersPerRequest));
     workers.all = workers.renewing;
     for (std::size_t n = 0; n < undecided.size() && workers.all.size() < workersPerRequest; ++n) {
         workers.all.push_back(std::move(undecided[n].second));
@@ -146,8 +156,10 @@
     request.timeout = Milliseconds(static_cast<std::int64_t>(costMs + relay->second.pendingMs)) + responseSlack;
     auto &advice = entry.work.groups.get<GroupAdvice>(group);
     advice.pendingNumber = request.number;
+    const auto renewed = std::min(advice.workersToRenew.size(), maxWorkersPerRequest);
+    advice.workersToRenew.erase(advice.workersToRenew.begin(),
+                                advice.workersToRenew.begin() + static_cast<std::ptrdiff_t>(renewed));
     advice.renewing = std::move(workers.renewing);
-    advice.workersToRenew.clear();
     ++advice.requestCount;
     ++relay->second.requestsInFlight;
     relay->second.pendingMs += costMs;
--- a/tests/dispatch_latency_test.cpp
+++ b/tests/dispatch_latency_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(reservesARelayForShortRequestsWhenOthersFail);
     CPPUNIT_TEST(requestsAdviceWhileManyRequestsAreOpen);
     CPPUNIT_TEST(evaluatesNoWorkersForGroupsWithoutAValidTicket);
+    CPPUNIT_TEST(asksAboutNoMoreWorkersThanTheServiceAccepts);
     CPPUNIT_TEST(repeatsAFailedAdviceRequest);
     CPPUNIT_TEST(reservesCapacityForOnePassOnly);
     CPPUNIT_TEST_SUITE_END();
@@ -148,6 +149,28 @@
         assertNoViolations(world);
     }
 
+    /**
+     * A request named as many workers as a step has tasks, however few still waited. Beyond 100 the policy service
+     * rejects it, so that the last tasks of a wide step were never placed.
+     */
+    void asksAboutNoMoreWorkersThanTheServiceAccepts()
+    {
+        constexpr std::uint32_t tasks = 110;
+        DispatchWorld world(4, tasks + 20);
+        requireAdvice(world, 20);
+        world.run(settleTime);
+        auto step = plainStep(tasks);
+        step.perTask = world.worker(0).capacity();
+        for (std::uint32_t n = 0; n < tasks; ++n) {
+            world.scripts[{1, 0, 0, n}] = {{Milliseconds{2'000}, RunEnd::Done}};
+        }
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{3'000}, RunEnd::Failed}, {Milliseconds{100}, RunEnd::Done}};
+        world.submit(0, 1, jobOf({step}));
+        world.run(Milliseconds{12'000});
+        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Completed);
+        assertNoViolations(world);
+    }
+
     void repeatsAFailedAdviceRequest()
     {
         DispatchWorld world(3, 2);
--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -19,6 +19,7 @@
 constexpr std::size_t orderBytes = 900; ///< Size of an order on the link, with the connection that it may open.
 constexpr std::size_t pollBytes = 400; ///< Size of a poll on the link.
 constexpr Milliseconds defaultAdviceTime{20}; ///< Response time of the policy service for jobs without a set time.
+constexpr std::size_t maxAdviceWorkers = 100; ///< The policy service rejects requests about more workers.
 constexpr Milliseconds wallStart{1'700'000'000'000}; ///< Wall time at the start of a world, since the Unix epoch.
 
 /** The ports of one daemon, and its clock. */
@@ -215,8 +216,9 @@
     {
         AdviceResponse response;
         response.number = request.number;
-        response.failed = m_world.requestsToFail > 0;
-        m_world.requestsToFail -= response.failed ? 1 : 0;
+        const bool isTooLong = request.workers.size() > maxAdviceWorkers;
+        response.failed = m_world.requestsToFail > 0 || isTooLong;
+        m_world.requestsToFail -= response.failed && !isTooLong ? 1 : 0;
         response.sentAt = now();
         for (const auto &it : request.workers) {
             if (!m_world.refusedWorkers.contains(it)) {
