Put writes off by the number of daemons, and ask only where tickets could be used

A worker is polled every 300 ms only while an end of it is not stored, so putting its write off by 250 ms hid the next end there as long; and groups without a valid ticket had the service asked about full workers. Change: an end that completes no step waits 1 ms a daemon, 100 ms at most; a group without a valid ticket asks only if a worker that may run it has capacity. Tests: noticesEndsOfOneWorkerSoonAfterEachOther (failed with the longer delay), asksOnlyWhereTicketsCouldBeUsed.

--- a/src/dispatch/policy/placer.h
+++ b/src/dispatch/policy/placer.h
@@ -64,7 +64,7 @@
             return 0;
         }
         if (!hasValidTickets()) {
-            m_lacksTickets = true;
+            m_lacksTickets = wouldUseTickets();
             return 0;
         }
         return m_step.gang ? placeGang() : placeSingles();
@@ -140,6 +140,19 @@
         return !m_policy.advice.required || validUntil - ticketMargin > m_time.now;
     }
 
+    /** Returns true if a request for tickets could lead to a placement: a worker that may run the step has capacity. */
+    bool wouldUseTickets() const
+    {
+        if (m_entry.work.groups.get<GroupAdvice>(m_group).pendingNumber != 0) {
+            return false; // there is one already
+        }
+        return std::ranges::any_of(poolWorkers(), [this](WorkerRef worker) {
+            const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
+            return hasCapacity(worker) && hasLabel(identity) && permissionOf(identity.id) != Permission::Refused
+                && isBelowWorkerLimit(worker);
+        });
+    }
+
     /** Returns true if a worker belongs to the group's pool and has the required label. */
     bool matches(const WorkerIdentity &identity) const
     {
--- a/src/dispatch/work_end.cpp
+++ b/src/dispatch/work_end.cpp
@@ -87,7 +87,7 @@
         openGroups(entry, occurrence, time);
         completeIfDone(entry, occurrence);
     } else {
-        deferWrite(work, occurrence, time);
+        deferWrite(entry, occurrence, time);
         prefetchAdvice(entry, occurrence);
     }
 }
--- a/src/dispatch/work_step.cpp
+++ b/src/dispatch/work_step.cpp
@@ -17,15 +17,18 @@
     }
 }
 
-void deferWrite(Work &work, OccurrenceRef occurrence, const TickTime &time)
+void deferWrite(Entry &entry, OccurrenceRef occurrence, const TickTime &time)
 {
-    constexpr Milliseconds longestDelay{250};
+    constexpr Milliseconds delayPerDaemon{1}; // each of them reads what is written
+    constexpr Milliseconds longestDelay{100};
+    auto &work = entry.work;
     auto &state = work.occurrences.get<OccurrenceWork>(occurrence);
     if (state.dirty || state.deferred) {
         return;
     }
     if (work.deferred.empty()) {
-        work.deferredUntil = time.now + longestDelay;
+        const auto daemons = static_cast<std::int64_t>(entry.ownership.daemons.size());
+        work.deferredUntil = time.now + std::min(delayPerDaemon * daemons, longestDelay);
     }
     state.deferred = true;
     work.deferred.push_back(occurrence);
--- a/src/dispatch/work_step.h
+++ b/src/dispatch/work_step.h
@@ -11,10 +11,10 @@
 
 /**
  * Has the progress of an occurrence written to the journal soon. For changes that nobody waits for, such as the end of
- * one of many tasks: an occurrence is written as a whole, so that writing each of its ends would cost as many times its
- * size.
+ * one of many tasks: an occurrence is written as a whole and read by all daemons, so the more there are, the longer it
+ * waits.
  */
-void deferWrite(Work &work, OccurrenceRef occurrence, const TickTime &time);
+void deferWrite(Entry &entry, OccurrenceRef occurrence, const TickTime &time);
 
 /** Marks the occurrences dirty whose writing was deferred. */
 void markDeferredDirty(Work &work);
--- a/tests/dispatch_latency_test.cpp
+++ b/tests/dispatch_latency_test.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(requestsAdviceWhileManyRequestsAreOpen);
     CPPUNIT_TEST(evaluatesNoWorkersForGroupsWithoutAValidTicket);
     CPPUNIT_TEST(asksAboutNoMoreWorkersThanTheServiceAccepts);
+    CPPUNIT_TEST(noticesEndsOfOneWorkerSoonAfterEachOther);
+    CPPUNIT_TEST(asksOnlyWhereTicketsCouldBeUsed);
     CPPUNIT_TEST(repeatsAFailedAdviceRequest);
     CPPUNIT_TEST(reservesCapacityForOnePassOnly);
     CPPUNIT_TEST_SUITE_END();
@@ -171,6 +173,45 @@
         assertNoViolations(world);
     }
 
+    /**
+     * While the write of an end was put off, its worker was polled every 300 ms only, so that the next end there was
+     * noticed as late.
+     */
+    void noticesEndsOfOneWorkerSoonAfterEachOther()
+    {
+        DispatchWorld world(3, 1);
+        world.run(settleTime);
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{500}, RunEnd::Done}};
+        world.scripts[{1, 0, 0, 1}] = {{Milliseconds{560}, RunEnd::Done}};
+        world.scripts[{1, 0, 0, 2}] = {{Milliseconds{620}, RunEnd::Done}};
+        world.submit(world.owner().value(), 1, jobOf({plainStep(3), plainStep(1, {0})}));
+        world.run(Milliseconds{800});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 1, 0}));
+        assertNoViolations(world);
+    }
+
+    /** Groups without a valid ticket had the service asked about workers that had no capacity for them. */
+    void asksOnlyWhereTicketsCouldBeUsed()
+    {
+        constexpr JobId jobs = 10;
+        DispatchWorld world(2, 2);
+        requireAdvice(world, 20);
+        world.refusedWorkers = {"w1"};
+        world.run(settleTime);
+        auto step = plainStep(1);
+        step.perTask = world.worker(0).capacity();
+        for (JobId job = 1; job <= jobs; ++job) {
+            world.scripts[{job, 0, 0, 0}] = {{Milliseconds{20'000}, RunEnd::Done}};
+            world.submit(0, job, jobOf({step}));
+        }
+        world.run(Milliseconds{5'000});
+        const auto &counters = world.entry(world.owner().value()).counters;
+        const auto before = counters.adviceRequests;
+        world.run(Milliseconds{5'000});
+        CPPUNIT_ASSERT_EQUAL(before, counters.adviceRequests);
+        assertNoViolations(world);
+    }
+
     void repeatsAFailedAdviceRequest()
     {
         DispatchWorld world(3, 2);
