--- a/src/dispatch/policy/order_pacing.h
+++ b/src/dispatch/policy/order_pacing.h
@@ -25,7 +25,7 @@
 constexpr std::size_t minResponses = OrderPacing::memory / 2;
 constexpr int timeoutFactor = 4; ///< An order waits for this many typical response times.
 constexpr Milliseconds longestTimeout{2'000}; ///< Of an order, and of a poll beyond the worker's own wait.
-/** A lease that is renewed over a congested link may be sent this much later than planned. */
+/** How long after congestion the silence of workers is still put down to the link. */
 constexpr Milliseconds doubtPeriod{3'000};
 
 } // namespace order_pacing
@@ -69,7 +69,10 @@
     }
 }
 
-/** Returns how long to wait for the response to an order. @param shortest Time-out over an idle link. */
+/**
+ * Returns how long to wait for the response to an order.
+ * @param shortest Time-out over an idle link.
+ */
 inline Milliseconds orderTimeout(const OrderPacing &pacing, Milliseconds shortest)
 {
     const auto typical = typicalResponse(pacing) * order_pacing::timeoutFactor;
