Copy platform/ for the mutants

Cause: CMakeLists.txt needs it, so that cmake failed in the scratch copy. Change: the folder is copied too. Result: the copy configures; the mutants were not run.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -8,7 +8,7 @@
 STEPS=${STEPS:-6000}
 cp -r CMakeLists.txt src tests bench scenarios scripts "$SCRATCH"/
 sed -i "s/ -Werror//" "$SCRATCH/CMakeLists.txt"
-for folder in apps standin; do [ -d "$folder" ] && cp -r "$folder" "$SCRATCH"/; done
+for folder in apps standin platform; do [ -d "$folder" ] && cp -r "$folder" "$SCRATCH"/; done
 
 # name | file | text | replacement. A | within a field is written as \|.
 MUTANTS=(
