--- a/src/dispatch/systems/load_report.cpp
+++ b/src/dispatch/systems/load_report.cpp
@@ -22,6 +22,7 @@
     std::size_t orders = 0;
 };
 
+/** Counts the polls and orders in flight. */
 InFlight countInFlight(const Entry &entry)
 {
     InFlight it;
