--- a/src/dispatch/entry_func.h
+++ b/src/dispatch/entry_func.h
@@ -41,8 +41,8 @@
 bool mayStart(const Entry &entry, const TickTime &time);
 
 /**
- * Returns true if workers that seem silent may only seem so, because the fault is on this host: its link was congested
- * of late, or most workers are silent and at least half of those in its own domain.
+ * Returns true if this host's own link may be why workers do not respond: it was congested a moment ago, or most
+ * workers are silent, among them at least half of those in this host's domain.
  */
 bool isLinkInDoubt(const Entry &entry, const TickTime &time);
 
--- a/src/dispatch/policy/order_pacing.h
+++ b/src/dispatch/policy/order_pacing.h
@@ -79,7 +79,7 @@
     return std::clamp(typical, shortest, std::max(shortest, order_pacing::longestTimeout));
 }
 
-/** Returns true if the link was congested of late, so that a silent worker may only seem silent. */
+/** Returns true if the link was congested within the last `doubtPeriod`. */
 inline bool wasCongested(const OrderPacing &pacing, MonotonicTime now)
 {
     return pacing.congestedAt != MonotonicTime{} && now - pacing.congestedAt < order_pacing::doubtPeriod;
--- a/src/dispatch/policy/placer.h
+++ b/src/dispatch/policy/placer.h
@@ -133,7 +133,7 @@
     /** Minimum remaining validity of a ticket, so that the start order arrives in time. */
     static constexpr Milliseconds ticketMargin{200};
 
-    /** Returns false if no worker can have a valid ticket, so that searching for one would be in vain. */
+    /** Returns false if all tickets of the group have expired. */
     bool hasValidTickets() const
     {
         const auto validUntil = m_entry.work.groups.get<GroupAdvice>(m_group).validUntil;
@@ -346,8 +346,8 @@
     }
 
     /**
-     * Returns true if the group's waiting tasks would find no place even on empty workers: a gang needs more workers
-     * than there are which may run it. Capacity reserved for it would be kept from others for nothing.
+     * Returns true if a gang needs more workers than may run it, even if they ran nothing else. No capacity is reserved
+     * for it, as it could not use any.
      */
     bool isBeyondPool(std::size_t waiting) const
     {
--- a/src/dispatch/systems/order.cpp
+++ b/src/dispatch/systems/order.cpp
@@ -32,8 +32,8 @@
 }
 
 /**
- * Returns true if a silent worker is probably alive: it is listed, and this host's own link is in doubt. Its leases are
- * renewed, and its runs are not given up, as they may have ended well, which it will report.
+ * Returns true if a silent worker is probably alive: it is listed, and this host's own link is in doubt. Then its
+ * leases are renewed, and its runs are kept, as it may still report that they are done.
  */
 bool mayStillReport(const Entry &entry, WorkerRef worker, const TickTime &time)
 {
