--- a/src/dispatch/entry.cpp
+++ b/src/dispatch/entry.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-constexpr Milliseconds journalAgeLimit{2'000}; ///< An owner with an older view of the journal starts nothing.
+constexpr Milliseconds journalAgeLimit{2'000}; ///< An older view of the journal may lack cancellations.
 /** Added to the leases of previous owners, for slow clocks of workers and late ticks. */
 constexpr Milliseconds leaseMargin{400};
 
@@ -40,9 +40,14 @@
     return entry.isOwner() && time.now - entry.ownership.storedBatchSentAt < entry.settings.isolationLimit;
 }
 
+bool hasFreshView(const Entry &entry, const TickTime &time)
+{
+    return time.now - entry.journal.asOf < journalAgeLimit;
+}
+
 bool mayStart(const Entry &entry, const TickTime &time)
 {
-    return isCertainOwner(entry, time) && time.now - entry.journal.asOf < journalAgeLimit;
+    return isCertainOwner(entry, time) && hasFreshView(entry, time);
 }
 
 bool isLinkInDoubt(const Entry &entry, const TickTime &time)
--- a/src/dispatch/entry_func.h
+++ b/src/dispatch/entry_func.h
@@ -34,9 +34,12 @@
  */
 bool isCertainOwner(const Entry &entry, const TickTime &time);
 
+/** Returns true if this daemon's view of the journal is recent, so that it contains recent cancellations. */
+bool hasFreshView(const Entry &entry, const TickTime &time);
+
 /**
- * Returns true if runs may be placed and started: this daemon certainly owns the cell, and its view of the journal is
- * fresh, so that it contains recent cancellations.
+ * Returns true if runs may be placed and started: this daemon certainly owns the cell and has a fresh view of the
+ * journal.
  */
 bool mayStart(const Entry &entry, const TickTime &time);
 
--- a/src/dispatch/systems/ownership.cpp
+++ b/src/dispatch/systems/ownership.cpp
@@ -20,16 +20,18 @@
 constexpr std::uint32_t largerFactor = 2;
 /** Added to the stagger of a daemon that has a much larger peer, so that the peer notices the missing owner first. */
 constexpr Milliseconds smallHostStagger{300};
-/** Minimum time from a claim until its owner yields; a larger host can return and the owner can build its tables. */
+/** Minimum time from a claim until its owner yields, in which it can build its tables. */
 constexpr Milliseconds yieldDelay{2'000};
-/** The same for an owner that claimed after a release: the larger hosts did not claim then and may be unreachable. */
+/** The same for an owner that claimed after a release: better placed daemons did not claim then. */
 constexpr Milliseconds yieldDelayAfterRelease{15'000};
 /** An owner whose ticks are delayed by more than this on average is overloaded. */
 constexpr Milliseconds overloadDelay{80};
 /** An owner that has been overloaded for this long releases ownership. */
 constexpr Milliseconds overloadPeriod{1'000};
 constexpr Milliseconds overloadBackoff{10'000}; ///< Such an owner claims nothing for this long.
-/** Time for larger hosts to read the release; this daemon claims nothing during it. */
+/** While the newest stored batch was sent more recently than this, the owner's appends get through. */
+constexpr Milliseconds storedBatchAgeLimit{1'000};
+/** Time for other daemons to read the release; this daemon claims nothing during it. */
 constexpr Milliseconds yieldBackoff{1'500};
 /**
  * Number of possible first sequence numbers of an owner's writer. The first one is derived from a hash, so that the
@@ -125,19 +127,24 @@
 }
 
 /**
- * Returns true if this owner should release ownership to a larger host, and then delays its own next claim. An owner
- * that claimed after a release yields later, as the larger hosts could have claimed then and did not.
+ * Returns true if this owner has owned the cell for long enough to yield to a better placed daemon. An owner that
+ * claimed after a release yields later, as the others could have claimed then and did not.
  */
+bool mayYield(const Entry &entry, const TickTime &time)
+{
+    const auto &ownership = entry.ownership;
+    const bool isAfterRelease = ownership.previous.owner.empty() && ownership.previous.token > 0;
+    return time.now >= ownership.claimedAt + (isAfterRelease ? yieldDelayAfterRelease : yieldDelay);
+}
+
+/** Returns true if this owner should release ownership to a larger host, and then delays its own next claim. */
 bool isYieldDue(Entry &entry, const TickTime &time)
 {
-    auto &ownership = entry.ownership;
     const bool isStoreHealthy = time.now >= entry.journal.slowUntil && entry.journal.failures == 0;
-    const bool isAfterRelease = ownership.previous.owner.empty() && ownership.previous.token > 0;
-    const auto dueAt = ownership.claimedAt + (isAfterRelease ? yieldDelayAfterRelease : yieldDelay);
-    if (!hasMuchLargerPeer(entry) || !isStoreHealthy || time.now < dueAt) {
+    if (!hasMuchLargerPeer(entry) || !isStoreHealthy || !mayYield(entry, time)) {
         return false;
     }
-    ownership.backoffUntil = time.now + yieldBackoff;
+    entry.ownership.backoffUntil = time.now + yieldBackoff;
     return true;
 }
 
@@ -179,6 +186,29 @@
     return true;
 }
 
+/**
+ * Returns true if this owner's appends are stored while its reads of the journal fail or are late; it then delays its
+ * own next claim. It would keep alive runs of jobs that were cancelled meanwhile, so a daemon that reads should own the
+ * cell.
+ */
+bool isStale(Entry &entry, const TickTime &time)
+{
+    auto &ownership = entry.ownership;
+    const bool storesBatches = time.now - ownership.storedBatchSentAt < storedBatchAgeLimit;
+    if (!storesBatches || hasFreshView(entry, time) || ownership.daemons.size() < 2 || !mayYield(entry, time)) {
+        return false;
+    }
+    logEvent(entry,
+             EventKind::OwnerStale,
+             0,
+             "journal_age_ms={} stored_batch_age_ms={} read_failures={}",
+             (time.now - entry.journal.asOf).count(),
+             (time.now - ownership.storedBatchSentAt).count(),
+             entry.journal.failures);
+    ownership.backoffUntil = time.now + yieldBackoff;
+    return true;
+}
+
 /** Queues a heartbeat if the owner's writer has sent nothing for the heartbeat interval and has nothing to send. */
 void writeHeartbeat(Entry &entry, const TickTime &time)
 {
@@ -211,7 +241,8 @@
         }
         break;
     case OwnerPhase::Owner:
-        if (entry.phase == EntryPhase::Draining || isYieldDue(entry, time) || isOverloaded(entry, time)) {
+        if (entry.phase == EntryPhase::Draining || isYieldDue(entry, time) || isOverloaded(entry, time)
+            || isStale(entry, time)) {
             queueRecord(entry, JournalWriter::Owner, ClaimRecord{{}, 0, ownership.token});
             ownership.phase = OwnerPhase::Releasing;
             break;
--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -47,7 +47,7 @@
             throw std::runtime_error("injected");
         }
         const auto sentAt = now();
-        if (mode() == StoreMode::Silent) {
+        if (mode() == StoreMode::Silent || mode() == StoreMode::AnswersNoReads) {
             deliverLater(Milliseconds{700},
                          [sentAt](Inbox &inbox) { inbox.journalReads.push_back(failedRead(sentAt, false)); });
             return;
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -24,6 +24,7 @@
     Down, ///< The store refuses all calls.
     Silent, ///< The store executes no call and sends no response.
     LosesResponses, ///< The store executes all appends, but the responses to them are lost.
+    AnswersNoReads, ///< The store executes and answers appends, but sends no response to reads.
     End,
 };
 
