Start nothing on an old view of the configuration, and release ownership then

What callers saw: nothing yet; found while looking for the cause of the stale owner elsewhere. An owner whose reads of the configuration alone fail goes on placing tasks in domains that were taken out of service, for as long as it owns the cell. The test file is named after its subject (dispatch_stale_owner_test). Evidence: startsNothingInAnEvacuatedDomainWhenTheOwnerCannotReadTheConfiguration failed before (4 of 8 tasks ran in the evacuated domain) and passes.

--- a/src/dispatch/entry.cpp
+++ b/src/dispatch/entry.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr Milliseconds journalAgeLimit{2'000}; ///< An older view of the journal may lack cancellations.
+constexpr Milliseconds configAgeLimit{4'000}; ///< An older view of the configuration may lack domains that are out.
 /** Added to the leases of previous owners, for slow clocks of workers and late ticks. */
 constexpr Milliseconds leaseMargin{400};
 
@@ -40,14 +41,14 @@
     return entry.isOwner() && time.now - entry.ownership.storedBatchSentAt < entry.settings.isolationLimit;
 }
 
-bool hasFreshView(const Entry &entry, const TickTime &time)
+bool hasFreshViews(const Entry &entry, const TickTime &time)
 {
-    return time.now - entry.journal.asOf < journalAgeLimit;
+    return time.now - entry.journal.asOf < journalAgeLimit && time.now - entry.config.asOf < configAgeLimit;
 }
 
 bool mayStart(const Entry &entry, const TickTime &time)
 {
-    return isCertainOwner(entry, time) && hasFreshView(entry, time);
+    return isCertainOwner(entry, time) && hasFreshViews(entry, time);
 }
 
 bool isLinkInDoubt(const Entry &entry, const TickTime &time)
--- a/src/dispatch/entry_func.h
+++ b/src/dispatch/entry_func.h
@@ -34,12 +34,14 @@
  */
 bool isCertainOwner(const Entry &entry, const TickTime &time);
 
-/** Returns true if this daemon's view of the journal is recent, so that it contains recent cancellations. */
-bool hasFreshView(const Entry &entry, const TickTime &time);
+/**
+ * Returns true if this daemon's views of the journal and of the configuration are recent, so that they contain recent
+ * cancellations and evacuations.
+ */
+bool hasFreshViews(const Entry &entry, const TickTime &time);
 
 /**
- * Returns true if runs may be placed and started: this daemon certainly owns the cell and has a fresh view of the
- * journal.
+ * Returns true if runs may be placed and started: this daemon certainly owns the cell and has fresh views.
  */
 bool mayStart(const Entry &entry, const TickTime &time);
 
--- a/src/dispatch/systems/ownership.cpp
+++ b/src/dispatch/systems/ownership.cpp
@@ -195,14 +195,15 @@
 {
     auto &ownership = entry.ownership;
     const bool storesBatches = time.now - ownership.storedBatchSentAt < storedBatchAgeLimit;
-    if (!storesBatches || hasFreshView(entry, time) || ownership.daemons.size() < 2 || !mayYield(entry, time)) {
+    if (!storesBatches || hasFreshViews(entry, time) || ownership.daemons.size() < 2 || !mayYield(entry, time)) {
         return false;
     }
     logEvent(entry,
              EventKind::OwnerStale,
              0,
-             "journal_age_ms={} stored_batch_age_ms={} read_failures={}",
+             "journal_age_ms={} config_age_ms={} stored_batch_age_ms={} read_failures={}",
              (time.now - entry.journal.asOf).count(),
+             (time.now - entry.config.asOf).count(),
              (time.now - ownership.storedBatchSentAt).count(),
              entry.journal.failures);
     ownership.backoffUntil = time.now + yieldBackoff;
--- a/tests/dispatch_cancel_test.cpp
+++ b/tests/dispatch_stale_owner_test.cpp
@@ -1,4 +1,4 @@
-/** @file dispatch_cancel_test.cpp Tests that the runs of a cancelled job end in time, whatever fails meanwhile. */
+/** @file dispatch_cancel_test.cpp Tests of owners that store records but do not read what others have stored. */
 #include "fakes/dispatch_world.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -24,10 +24,11 @@
 
 } // namespace
 
-class DispatchCancelTest : public CppUnit::TestFixture
+class DispatchStaleOwnerTest : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(DispatchCancelTest);
+    CPPUNIT_TEST_SUITE(DispatchStaleOwnerTest);
     CPPUNIT_TEST(stopsRunsOfACancelledJobWhenTheOwnerCannotReadTheJournal);
+    CPPUNIT_TEST(startsNothingInAnEvacuatedDomainWhenTheOwnerCannotReadTheConfiguration);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -54,6 +55,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({2, 0, 0, 0}));
         assertNoViolations(world);
     }
+
+    /** An owner whose reads of the configuration failed, while those of the journal did not, went on placing tasks. */
+    void startsNothingInAnEvacuatedDomainWhenTheOwnerCannotReadTheConfiguration()
+    {
+        constexpr Milliseconds evacuationLimit{5'000}; // stated target from the evacuation to the last start there
+        DispatchWorld world(3, 2);
+        world.run(settleTime);
+        const auto owner = world.owner().value();
+        world.daemonsWithoutConfig.insert(owner);
+        world.domainsOut = {"z1"};
+        world.run(evacuationLimit);
+        world.submit((owner + 1) % 3, 1, jobOf({plainStep(8)}));
+        world.run(Milliseconds{3'000});
+        CPPUNIT_ASSERT(world.phaseAt((owner + 1) % 3, 1) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, world.startsOn(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.startsOn(1));
+        assertNoViolations(world);
+    }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(DispatchCancelTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatchStaleOwnerTest);
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -271,6 +271,12 @@
     return it == m_starts.end() ? 0 : it->second;
 }
 
+std::size_t DispatchWorld::startsOn(std::size_t worker) const
+{
+    const auto it = m_startsByWorker.find(m_workers[worker].model->id());
+    return it == m_startsByWorker.end() ? 0 : it->second;
+}
+
 std::optional<std::size_t> DispatchWorld::runningOn(const TaskName &task) const
 {
     const auto it = m_running.find(task);
@@ -305,6 +311,7 @@
                                   run.run,
                                   run.worker);
     ++m_starts[run.task];
+    ++m_startsByWorker[run.worker];
     ++m_running[run.task][run.worker];
     if (m_running[run.task].size() > 1) {
         violations.push_back("task runs on two workers: " + text);
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -89,6 +89,9 @@
     /** Returns the number of runs of a task that have begun, on all workers. */
     std::size_t startsOf(const dispatch::TaskName &task) const;
 
+    /** Returns the number of runs that have begun on a worker. */
+    std::size_t startsOn(std::size_t worker) const;
+
     /** Returns the index of the worker on which a task runs; unset if the task does not run. */
     std::optional<std::size_t> runningOn(const dispatch::TaskName &task) const;
 
@@ -199,6 +202,7 @@
     /** Number of current runs by task, then by the id of the worker. */
     std::map<dispatch::TaskName, std::map<std::string, std::size_t>> m_running;
     std::map<dispatch::TaskName, std::size_t> m_starts; ///< Number of runs that have begun, by task.
+    std::map<std::string, std::size_t> m_startsByWorker; ///< The same, by the id of the worker.
     std::set<dispatch::TaskName> m_done; ///< Tasks with a run that was done; never tasks of endless steps.
     std::set<dispatch::JobId> m_cancelled;
     dispatch::CallHandle m_nextHandle = 1;
