Bound the age of the owner's list of workers

What callers saw: nothing yet; found while looking for the cause of the stale owner elsewhere. Failed reads of the list of workers left no trace: an owner that did not read it went on starting tasks on workers that drain, have left or have shrunk, for as long as it owned the cell. Change: reads without a change are passed on with the time of their request; hasFreshViews() asks for a list of under 3 s. Evidence: startsNothingOnADrainingWorkerWhenTheOwnerCannotReadTheListOfWorkers failed before (4 of 8 tasks ran on the draining worker) and passes.

--- a/src/dispatch/entry.cpp
+++ b/src/dispatch/entry.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr Milliseconds journalAgeLimit{2'000}; ///< An older view of the journal may lack cancellations.
+constexpr Milliseconds workerListAgeLimit{3'000}; ///< An older list may lack workers that drain or have shrunk.
 constexpr Milliseconds configAgeLimit{4'000}; ///< An older view of the configuration may lack domains that are out.
 /** Added to the leases of previous owners, for slow clocks of workers and late ticks. */
 constexpr Milliseconds leaseMargin{400};
@@ -43,7 +44,8 @@
 
 bool hasFreshViews(const Entry &entry, const TickTime &time)
 {
-    return time.now - entry.journal.asOf < journalAgeLimit && time.now - entry.config.asOf < configAgeLimit;
+    return time.now - entry.journal.asOf < journalAgeLimit && time.now - entry.workers.asOf < workerListAgeLimit
+        && time.now - entry.config.asOf < configAgeLimit;
 }
 
 bool mayStart(const Entry &entry, const TickTime &time)
--- a/src/dispatch/entry_func.h
+++ b/src/dispatch/entry_func.h
@@ -35,8 +35,8 @@
 bool isCertainOwner(const Entry &entry, const TickTime &time);
 
 /**
- * Returns true if this daemon's views of the journal and of the configuration are recent, so that they contain recent
- * cancellations and evacuations.
+ * Returns true if this owner's views of the journal, the list of workers and the configuration are recent, so that they
+ * contain recent cancellations, departures and evacuations.
  */
 bool hasFreshViews(const Entry &entry, const TickTime &time);
 
--- a/src/dispatch/message_type.h
+++ b/src/dispatch/message_type.h
@@ -37,6 +37,7 @@
 
 /** Response to a read of the list of workers. */
 struct WorkerListRead {
+    MonotonicTime sentAt{}; ///< The list is complete as of this time; zero if further changes are known to be unread.
     std::vector<WorkerListing> changes;
     bool isSnapshot = false; ///< Contains every entry of the list, so entries that are missing were removed.
 };
--- a/src/dispatch/systems/ownership.cpp
+++ b/src/dispatch/systems/ownership.cpp
@@ -201,8 +201,9 @@
     logEvent(entry,
              EventKind::OwnerStale,
              0,
-             "journal_age_ms={} config_age_ms={} stored_batch_age_ms={} read_failures={}",
+             "journal_age_ms={} worker_list_age_ms={} config_age_ms={} stored_batch_age_ms={} read_failures={}",
              (time.now - entry.journal.asOf).count(),
+             (time.now - entry.workers.asOf).count(),
              (time.now - entry.config.asOf).count(),
              (time.now - ownership.storedBatchSentAt).count(),
              entry.journal.failures);
--- a/src/dispatch/systems/worker_list.cpp
+++ b/src/dispatch/systems/worker_list.cpp
@@ -4,6 +4,8 @@
 
 #include <absl/container/flat_hash_set.h>
 
+#include <algorithm>
+
 namespace flamingotally::dispatch
 {
 
@@ -78,6 +80,7 @@
         return;
     }
     for (const auto &read : entry.inbox.workerLists) {
+        entry.workers.asOf = std::max(entry.workers.asOf, read.sentAt);
         if (read.isSnapshot) {
             unlistMissing(entry, read);
         }
--- a/src/dispatch/work.cpp
+++ b/src/dispatch/work.cpp
@@ -142,6 +142,7 @@
 {
     entry.work = {};
     entry.workers = {};
+    entry.workers.asOf = time.now;
     entry.jobs.table.forEach([&](JobRef job) { openJob(entry, job, time); });
     openDueOccurrences(entry, time);
 }
--- a/src/dispatch/worker_base.h
+++ b/src/dispatch/worker_base.h
@@ -95,6 +95,7 @@
 struct Workers {
     WorkerTable table;
     absl::flat_hash_map<std::string, WorkerRef> byId;
+    MonotonicTime asOf{}; ///< The table includes everything that was in the list before this time.
     OrderPacing pacing;
     WorkerSilence silence;
 };
--- a/tests/dispatch_stale_owner_test.cpp
+++ b/tests/dispatch_stale_owner_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST_SUITE(DispatchStaleOwnerTest);
     CPPUNIT_TEST(stopsRunsOfACancelledJobWhenTheOwnerCannotReadTheJournal);
     CPPUNIT_TEST(startsNothingInAnEvacuatedDomainWhenTheOwnerCannotReadTheConfiguration);
+    CPPUNIT_TEST(startsNothingOnADrainingWorkerWhenTheOwnerCannotReadTheListOfWorkers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -73,6 +74,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.startsOn(1));
         assertNoViolations(world);
     }
+
+    /** An owner whose reads of the list of workers failed, while those of the journal did not, went on placing tasks.
+     */
+    void startsNothingOnADrainingWorkerWhenTheOwnerCannotReadTheListOfWorkers()
+    {
+        DispatchWorld world(3, 2);
+        world.run(settleTime);
+        const auto owner = world.owner().value();
+        world.daemonsWithoutWorkerList.insert(owner);
+        world.listWorker(1, true);
+        world.run(Milliseconds{4'000});
+        world.submit((owner + 1) % 3, 1, jobOf({plainStep(8)}));
+        world.run(Milliseconds{3'000});
+        CPPUNIT_ASSERT(world.phaseAt((owner + 1) % 3, 1) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, world.startsOn(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.startsOn(1));
+        assertNoViolations(world);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchStaleOwnerTest);
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -19,7 +19,7 @@
 {
 
 constexpr Milliseconds answerTimeout{3'000}; ///< Time from a call to its deadline.
-constexpr Milliseconds configInterval{300}; ///< Time between two reads of the configuration.
+constexpr Milliseconds watchInterval{300}; ///< Time between two reads of the configuration or the list of workers.
 constexpr Milliseconds incarnationOffset{1}; ///< Added to the start time, so that no incarnation is zero.
 constexpr const char *redKey = "red key";
 
@@ -107,6 +107,7 @@
     it.alive = true;
     it.isWatchingWorkers = false;
     readConfig(daemon, it.incarnation);
+    readWorkerList(daemon, it.incarnation);
     wake(daemon);
 }
 
@@ -139,7 +140,21 @@
     read.configuration = configuration;
     read.domainsOut = DomainsOut{domainsOut};
     deliver(daemon, incarnation, 2 * messageDelay, [read](Inbox &inbox) { inbox.configReads.push_back(read); });
-    m_queue.after(configInterval, [this, daemon, incarnation] { readConfig(daemon, incarnation); });
+    m_queue.after(watchInterval, [this, daemon, incarnation] { readConfig(daemon, incarnation); });
+}
+
+void DispatchWorld::readWorkerList(std::size_t daemon, std::uint64_t incarnation)
+{
+    const auto &it = *m_daemons[daemon];
+    if (!it.alive || it.incarnation != incarnation) {
+        return;
+    }
+    if (it.isWatchingWorkers && !daemonsWithoutWorkerList.contains(daemon)) {
+        WorkerListRead read;
+        read.sentAt = MonotonicTime{m_queue.now()};
+        deliver(daemon, incarnation, 2 * messageDelay, [read](Inbox &inbox) { inbox.workerLists.push_back(read); });
+    }
+    m_queue.after(watchInterval, [this, daemon, incarnation] { readWorkerList(daemon, incarnation); });
 }
 
 void DispatchWorld::deliver(std::size_t daemon,
@@ -366,8 +381,9 @@
 void DispatchWorld::publishListing(std::size_t n)
 {
     for (std::size_t daemon = 0; daemon < m_daemons.size(); ++daemon) {
-        if (m_daemons[daemon]->isWatchingWorkers) {
+        if (m_daemons[daemon]->isWatchingWorkers && !daemonsWithoutWorkerList.contains(daemon)) {
             WorkerListRead read;
+            read.sentAt = MonotonicTime{m_queue.now()};
             read.changes.push_back(m_workers[n].listing);
             deliver(daemon, m_daemons[daemon]->incarnation, messageDelay, [read](Inbox &inbox) {
                 inbox.workerLists.push_back(read);
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -124,6 +124,7 @@
     std::map<std::size_t, LinkMode> linkModes; ///< By worker.
     std::map<std::size_t, Milliseconds> tickTimes; ///< How long a tick of a daemon takes, by daemon; else no time.
     std::set<std::size_t> daemonsWithoutConfig; ///< Indexes of the daemons whose reads of the configuration fail.
+    std::set<std::size_t> daemonsWithoutWorkerList; ///< Indexes of the daemons whose reads of the list of workers fail.
     dispatch::Configuration configuration;
     std::vector<std::string> domainsOut;
     std::set<std::string> refusedWorkers; ///< Ids of the workers that get no ticket from the policy service.
@@ -181,6 +182,8 @@
                  const std::function<void(dispatch::Inbox &)> &put);
     /** Delivers the configuration to a daemon, and repeats this at an interval. */
     void readConfig(std::size_t daemon, std::uint64_t incarnation);
+    /** Delivers an unchanged list of workers to a daemon that watches it, and repeats this at an interval. */
+    void readWorkerList(std::size_t daemon, std::uint64_t incarnation);
     /** Sends the entry of a worker in the list of workers to the daemons that watch the list. */
     void publishListing(std::size_t n);
     /** Makes the workers execute everything up to the current time. */
