--- /dev/null
+++ b/src/dispatch/policy/pass_workers.h
@@ -0,0 +1,52 @@
+/** @file pass_workers.h The workers that accept tasks in a placement pass, by pool. */
+#pragma once
+
+#include "dispatch/entry_base.h"
+
+#include <algorithm>
+
+namespace flamingotally::dispatch
+{
+
+/** Returns true if a worker is listed and responds, is neither draining nor avoided, and its domain is in service. */
+inline bool acceptsTasks(const Entry &entry, WorkerRef worker, const TickTime &time)
+{
+    constexpr Milliseconds responseAgeLimit{1'900}; // workers whose last response is older get no tasks
+    const auto &health = entry.workers.table.get<WorkerHealth>(worker);
+    const auto &link = entry.workers.table.get<WorkerLink>(worker);
+    if (!health.listed || health.draining || !link.hasResponded || link.missedPolls > 0 || time.now < health.avoidUntil
+        || time.now - link.lastResponseAt > responseAgeLimit) {
+        return false;
+    }
+    const auto &out = entry.config.domainsOut;
+    return std::ranges::find(out, entry.workers.table.get<WorkerIdentity>(worker).domain) == out.end();
+}
+
+/** Returns the workers that accept tasks, by pool. */
+inline std::vector<PassPool> poolsOfPass(const Entry &entry, const TickTime &time)
+{
+    std::vector<PassPool> pools;
+    entry.workers.table.forEach([&](WorkerRef worker) {
+        if (!acceptsTasks(entry, worker, time)) {
+            return;
+        }
+        const auto &name = entry.workers.table.get<WorkerIdentity>(worker).pool;
+        auto it = std::ranges::find(pools, name, &PassPool::name);
+        if (it == pools.end()) {
+            it = pools.insert(pools.end(), {name, {}});
+        }
+        it->workers.push_back(worker);
+    });
+    return pools;
+}
+
+/** Returns the workers of a pool that accept tasks in the current pass. */
+inline const std::vector<WorkerRef> &workersInPass(const Entry &entry, const std::string &pool)
+{
+    static const std::vector<WorkerRef> none;
+    const auto &pools = entry.work.pass.pools;
+    const auto it = std::ranges::find(pools, pool, &PassPool::name);
+    return it == pools.end() ? none : it->workers;
+}
+
+} // namespace flamingotally::dispatch
--- /dev/null
+++ b/src/dispatch/policy/worker_search.h
@@ -0,0 +1,107 @@
+/** @file worker_search.h Finds the best worker for a task of one group. */
+#pragma once
+
+#include "dispatch/policy/worker_choice.h"
+#include "dispatch/policy/worker_evaluation.h"
+
+namespace flamingotally::dispatch
+{
+
+/**
+ * Finds the best worker for each task of a group.
+ * @tparam Choice Scores the candidate workers.
+ */
+template<WorkerChoice Choice>
+class WorkerSearch
+{
+public:
+    WorkerSearch(Entry &entry, const WorkerEvaluation &evaluation) : m_entry(entry), m_evaluation(evaluation)
+    {
+    }
+
+    /**
+     * Returns the best worker for a task; unset when none fits.
+     * @param rack Rack that the worker must be in; empty for any.
+     */
+    WorkerRef choose(const TaskState &task, const std::string &rack)
+    {
+        if (!m_isSearched) {
+            findCandidates();
+        }
+        WorkerRef best;
+        double bestScore = 0;
+        for (const auto worker : m_candidates) {
+            const bool isElsewhere = !rack.empty() && m_entry.workers.table.get<WorkerIdentity>(worker).rack != rack;
+            if (isElsewhere || !m_evaluation.hasCapacity(worker) || !m_evaluation.isBelowWorkerLimit(worker)) {
+                continue;
+            }
+            const double score = Choice::score(describe(worker, task));
+            if (!best.isSet() || score > bestScore) {
+                best = worker;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    /** Returns true if a worker was found that lacked only a ticket. */
+    bool lacksTickets() const
+    {
+        return m_lacksTickets;
+    }
+
+private:
+    /**
+     * Finds the workers that can run a task of the group now. choose() needs no others, as free capacity only shrinks
+     * in a pass.
+     */
+    void findCandidates()
+    {
+        m_isSearched = true;
+        bool anyCapacity = false;
+        m_entry.counters.workersEvaluated += m_evaluation.poolWorkers().size();
+        for (const auto worker : m_evaluation.poolWorkers()) {
+            const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
+            if (!m_evaluation.hasCapacity(worker) || !m_evaluation.hasLabel(identity)) {
+                continue;
+            }
+            anyCapacity = true;
+            if (!m_evaluation.isBelowWorkerLimit(worker)) {
+                continue;
+            }
+            const auto fit = m_evaluation.evaluateTicket(worker, identity);
+            m_lacksTickets = m_lacksTickets || fit == Fit::NeedsTicket;
+            if (fit == Fit::Fits) {
+                m_candidates.push_back(worker);
+            }
+        }
+        if (!anyCapacity) {
+            m_entry.work.pass.unplaceable.push_back(
+                {m_evaluation.policy().pool, m_evaluation.step().requiredLabel, m_evaluation.demand()});
+        }
+    }
+
+    /** Returns the properties by which a worker is scored for a task. */
+    Candidate describe(WorkerRef worker, const TaskState &task) const
+    {
+        const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
+        const auto &load = m_entry.workers.table.get<WorkerLoad>(worker);
+        Candidate it;
+        it.capacity = identity.capacity;
+        it.freeAfter = identity.capacity - load.used - m_evaluation.reservedOn(worker) - m_evaluation.demand();
+        it.isNearData = m_evaluation.step().dataRack.empty() || m_evaluation.step().dataRack == identity.rack;
+        it.isAvoided = task.avoidedWorker == worker;
+        it.wouldInterfere = (m_evaluation.step().bestEffort && load.latencyBoundRuns > 0)
+            || (m_evaluation.step().targetResponse.count() > 0 && load.bestEffortRuns > 0);
+        it.failedInRow = m_entry.workers.table.get<WorkerHealth>(worker).failedInRow;
+        return it;
+    }
+
+    Entry &m_entry;
+    const WorkerEvaluation &m_evaluation;
+    std::vector<WorkerRef> m_candidates; ///< Workers that could take a task when findCandidates() ran.
+    bool m_isSearched = false; ///< findCandidates() has run.
+    bool m_lacksTickets = false; ///< A worker was found that lacked only a ticket.
+};
+
+} // namespace flamingotally::dispatch
--- a/src/dispatch/systems/advice.cpp
+++ b/src/dispatch/systems/advice.cpp
@@ -1,4 +1,5 @@
-#include "dispatch/policy/placer.h"
+#include "dispatch/entry_func.h"
+#include "dispatch/policy/worker_evaluation.h"
 #include "dispatch/systems/systems.h"
 
 #include <algorithm>
@@ -74,14 +75,6 @@
     return best;
 }
 
-/** Returns the number of tasks of a group that wait to be placed. */
-std::size_t waitingTasks(const Entry &entry, GroupRef group)
-{
-    const auto &tasks = entry.work.groups.get<GroupState>(group).tasks;
-    return static_cast<std::size_t>(std::ranges::count_if(
-        tasks, [&](TaskRef it) { return entry.work.tasks.get<TaskState>(it).phase == TaskPhase::Waiting; }));
-}
-
 /** Ids of the workers to include in a request. */
 struct RequestWorkers {
     std::vector<std::string> all;
@@ -97,7 +90,7 @@
  */
 RequestWorkers chooseWorkers(Entry &entry, GroupRef group, const TickTime &time)
 {
-    const Placer<FitChoice> placer(entry, group, time);
+    const WorkerEvaluation evaluation(entry, group, time);
     const auto &tickets = entry.work.groups.get<GroupAdvice>(group).tickets;
     std::vector<std::pair<std::int64_t, std::string>> undecided;
     std::vector<std::pair<std::int64_t, std::string>> renewable;
@@ -105,10 +98,10 @@
         const auto &identity = entry.workers.table.get<WorkerIdentity>(worker);
         const auto free = identity.capacity - entry.workers.table.get<WorkerLoad>(worker).used;
         if (!tickets.contains(identity.id)) {
-            if (placer.isUsable(worker)) {
+            if (evaluation.isUsable(worker)) {
                 undecided.emplace_back(-free.cpuMilli, identity.id);
             }
-        } else if (placer.evaluate(worker) == Fit::NeedsTicket) {
+        } else if (evaluation.evaluate(worker) == Fit::NeedsTicket) {
             renewable.emplace_back(-free.cpuMilli, identity.id);
         }
     });
--- a/src/dispatch/systems/placement.cpp
+++ b/src/dispatch/systems/placement.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/entry_func.h"
 #include "dispatch/policy/group_order.h"
 #include "dispatch/policy/placer.h"
 #include "dispatch/systems/systems.h"
@@ -111,20 +112,9 @@
 {
     auto &pass = entry.work.pass;
     ++pass.number;
-    pass.pools.clear();
+    pass.pools = poolsOfPass(entry, time);
     pass.unplaceable.clear();
     pass.largeReservations = 0;
-    entry.workers.table.forEach([&](WorkerRef worker) {
-        if (!acceptsTasks(entry, worker, time)) {
-            return;
-        }
-        const auto &name = entry.workers.table.get<WorkerIdentity>(worker).pool;
-        auto it = std::ranges::find(pass.pools, name, &PassPool::name);
-        if (it == pass.pools.end()) {
-            it = pass.pools.insert(pass.pools.end(), {name, {}});
-        }
-        it->workers.push_back(worker);
-    });
 }
 
 /** Ends a pass. The reservations made during the pass are void from then on. */
--- a/src/dispatch/work.cpp
+++ b/src/dispatch/work.cpp
@@ -120,6 +120,13 @@
     return entry.jobs.table.get<JobPlan>(entry.work.groups.get<GroupIdentity>(group).job).policy;
 }
 
+std::size_t waitingTasks(const Entry &entry, GroupRef group)
+{
+    const auto &tasks = entry.work.groups.get<GroupState>(group).tasks;
+    return static_cast<std::size_t>(std::ranges::count_if(
+        tasks, [&](TaskRef it) { return entry.work.tasks.get<TaskState>(it).phase == TaskPhase::Waiting; }));
+}
+
 TaskName nameOf(const Entry &entry, TaskRef task)
 {
     const auto &work = entry.work;
--- a/src/dispatch/work_func.h
+++ b/src/dispatch/work_func.h
@@ -12,6 +12,9 @@
 /** Returns the policy of a group's job. */
 const JobPolicy &policyOf(const Entry &entry, GroupRef group);
 
+/** Returns the number of tasks of a group that wait to be placed. */
+std::size_t waitingTasks(const Entry &entry, GroupRef group);
+
 /** Returns the public name of a task. */
 TaskName nameOf(const Entry &entry, TaskRef task);
 
