Let the port state how many workers a request for advice may name

Cause: src/dispatch/systems/advice.cpp held maxWorkersPerRequest = 100, a bound of the platform's policy service. The filling of a request with workers without a decision (up to 40) keeps to the bound as well, which changes nothing at 100.

--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -308,6 +308,7 @@
     LoadReport loadReport;
     Inbox inbox;
     Outbox outbox;
+    std::size_t maxAdviceWorkers = 0; ///< AdviceClient::maxAdviceWorkers of the port; set by runTick().
     MonotonicTime tickedAt{}; ///< Time of the last tick.
     MonotonicTime dueTickAt{}; ///< When the current tick had to run at the latest.
     MonotonicTime nextWake{}; ///< The next tick must run no later than this; each tick sets it anew.
--- a/src/dispatch/ports.h
+++ b/src/dispatch/ports.h
@@ -36,10 +36,16 @@
     orders.stop(stop); // -> Inbox::orderResponses
 };
 
-/** Sends requests to the policy service, directly or through the daemon in AdviceRequest::relay. */
+/**
+ * Sends requests to the policy service, directly or through the daemon in AdviceRequest::relay.
+ * T::maxAdviceWorkers is the maximum number of workers in a request.
+ */
 template<typename T>
 concept AdviceClient = requires(T &adviser, const AdviceRequest &request)
 {
+    {
+        T::maxAdviceWorkers
+        } -> std::convertible_to<std::size_t>;
     adviser.send(request); // -> Inbox::adviceResponses
 };
 
--- a/src/dispatch/runtime.h
+++ b/src/dispatch/runtime.h
@@ -34,6 +34,7 @@
              ResponsesT &responses,
              EventsT &events)
 {
+    entry.maxAdviceWorkers = AdviserT::maxAdviceWorkers;
     const TickTime time{clock.now(), clock.wallNow()};
     tick(entry, time);
     const Milliseconds duration{clock.now() - time.now};
--- a/src/dispatch/systems/advice.cpp
+++ b/src/dispatch/systems/advice.cpp
@@ -11,7 +11,6 @@
 {
 
 constexpr std::size_t workersPerRequest = 40; ///< Up to this size a request is filled with workers without a decision.
-constexpr std::size_t maxWorkersPerRequest = 100; ///< The service rejects longer requests.
 /** Maximum short requests in flight through one relay. The service serves the requests of one host sequentially. */
 constexpr std::uint32_t shortRequestsPerRelay = 4;
 constexpr double longRequestMs = 100; ///< Requests that take longer are long; a relay sends only one of them at a time.
@@ -113,9 +112,10 @@
     for (std::size_t n = 0; n < renewable.size() && n < wanted; ++n) {
         workers.renewing.push_back(std::move(renewable[n].second));
     }
-    workers.renewing.resize(std::min(workers.renewing.size(), maxWorkersPerRequest));
+    workers.renewing.resize(std::min(workers.renewing.size(), entry.maxAdviceWorkers));
     workers.all = workers.renewing;
-    for (std::size_t n = 0; n < undecided.size() && workers.all.size() < workersPerRequest; ++n) {
+    const auto limit = std::min(workersPerRequest, entry.maxAdviceWorkers);
+    for (std::size_t n = 0; n < undecided.size() && workers.all.size() < limit; ++n) {
         workers.all.push_back(std::move(undecided[n].second));
     }
     return workers;
@@ -149,7 +149,7 @@
     request.timeout = Milliseconds(static_cast<std::int64_t>(costMs + relay->second.pendingMs)) + responseSlack;
     auto &advice = entry.work.groups.get<GroupAdvice>(group);
     advice.pendingNumber = request.number;
-    const auto renewed = std::min(advice.workersToRenew.size(), maxWorkersPerRequest);
+    const auto renewed = std::min(advice.workersToRenew.size(), entry.maxAdviceWorkers);
     advice.workersToRenew.erase(advice.workersToRenew.begin(),
                                 advice.workersToRenew.begin() + static_cast<std::ptrdiff_t>(renewed));
     advice.renewing = std::move(workers.renewing);
--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -19,13 +19,14 @@
 constexpr std::size_t orderBytes = 900; ///< Size of an order on the link, with the connection that it may open.
 constexpr std::size_t pollBytes = 400; ///< Size of a poll on the link.
 constexpr Milliseconds defaultAdviceTime{20}; ///< Response time of the policy service for jobs without a set time.
-constexpr std::size_t maxAdviceWorkers = 100; ///< The policy service rejects requests about more workers.
 constexpr Milliseconds wallStart{1'700'000'000'000}; ///< Wall time at the start of a world, since the Unix epoch.
 
 /** The ports of one daemon, and its clock. */
 class WorldPorts
 {
 public:
+    static constexpr std::size_t maxAdviceWorkers = 100; ///< The policy service rejects requests about more workers.
+
     WorldPorts(DispatchWorld &world, std::size_t daemon)
         : m_world(world), m_daemon(daemon), m_incarnation(world.m_daemons[daemon]->incarnation)
     {
