Say in each name what waits

Cause: `waiting` named a number of orders in OrderPacing, counts by timeliness in PlacementPass, a list of groups in Work, and a number of jobs in CallerResponse; comments explained which. Change: OrderPacing::ordersWaiting, PlacementPass::groupsWaiting and gangsWaiting, Work::waitingGroups, CallerResponse::jobsWaiting, sortWaitingGroups(). The words of log lines and of the platform's responses stay. One line each in order.cpp and message_type.h.

--- a/src/dispatch/message_type.h
+++ b/src/dispatch/message_type.h
@@ -227,7 +227,7 @@
     CallResult result = CallResult::Done;
     JobId job = 0;
     JobPhase phase = JobPhase::Queued; ///< State of the job, for CallVerb::Query.
-    std::uint64_t waiting = 0; ///< Number of waiting jobs, for CallVerb::Count.
+    std::uint64_t jobsWaiting = 0; ///< Number of waiting jobs, for CallVerb::Count.
     Milliseconds retryAfter{0}; ///< Time after which the caller may retry; zero for none.
     std::string_view cause; ///< Static text for the log and the caller.
 };
--- a/src/dispatch/net/entry_metrics.cpp
+++ b/src/dispatch/net/entry_metrics.cpp
@@ -208,7 +208,7 @@
     addGauge(registry,
              "flamingotally_waiting_groups",
              "Groups of tasks that wait to be placed.",
-             static_cast<double>(entry.work.waiting.size()));
+             static_cast<double>(entry.work.waitingGroups.size()));
     return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
--- a/src/dispatch/systems/admission.cpp
+++ b/src/dispatch/systems/admission.cpp
@@ -144,14 +144,20 @@
     /** Answers with the number of jobs of a queue of which nothing has been placed and that have not ended. */
     CallDecision count(const Call &call, const QueueSpec &queue)
     {
-        std::uint64_t waiting = 0;
+        std::uint64_t jobsWaiting = 0;
         m_entry.jobs.table.forEach([&](JobRef it) {
             const auto &state = m_entry.jobs.table.get<JobState>(it);
             const bool isWaiting = !state.begun && !hasEnded(state);
-            waiting += isWaiting && m_entry.jobs.table.get<JobIdentity>(it).queue == queue.name ? 1 : 0;
+            jobsWaiting += isWaiting && m_entry.jobs.table.get<JobIdentity>(it).queue == queue.name ? 1 : 0;
         });
-        m_entry.outbox.responses.push_back(
-            {call.call.handle, CallVerb::Count, CallResult::Done, 0, JobPhase::Queued, waiting, Milliseconds{0}, ""});
+        m_entry.outbox.responses.push_back({call.call.handle,
+                                            CallVerb::Count,
+                                            CallResult::Done,
+                                            0,
+                                            JobPhase::Queued,
+                                            jobsWaiting,
+                                            Milliseconds{0},
+                                            ""});
         return CallDecision::Answered;
     }
 
--- a/src/dispatch/systems/load_report.cpp
+++ b/src/dispatch/systems/load_report.cpp
@@ -37,8 +37,8 @@
 {
     const auto &workers = entry.workers;
     const auto it = countInFlight(entry);
-    const auto waitingAs = [&entry](Timeliness timeliness) {
-        return entry.work.pass.waiting[static_cast<std::size_t>(timeliness)];
+    const auto groupsWaiting = [&entry](Timeliness timeliness) {
+        return entry.work.pass.groupsWaiting[static_cast<std::size_t>(timeliness)];
     };
     return fmt::format(" token={} workers={} silent={} polls_in_flight={} orders_in_flight={} "
                        "orders_waiting={} order_window={} typical_response_ms={} link_in_doubt={} "
@@ -49,15 +49,15 @@
                        workers.silence.silent,
                        it.polls,
                        it.orders,
-                       workers.pacing.waiting,
+                       workers.pacing.ordersWaiting,
                        workers.pacing.window,
                        typicalResponse(workers.pacing).count(),
                        isLinkInDoubt(entry, time),
-                       entry.work.waiting.size(),
-                       waitingAs(Timeliness::InTime),
-                       waitingAs(Timeliness::Late),
-                       waitingAs(Timeliness::TooLate),
-                       entry.work.pass.waitingGangs,
+                       entry.work.waitingGroups.size(),
+                       groupsWaiting(Timeliness::InTime),
+                       groupsWaiting(Timeliness::Late),
+                       groupsWaiting(Timeliness::TooLate),
+                       entry.work.pass.gangsWaiting,
                        entry.work.runs.size(),
                        entry.writers[static_cast<std::size_t>(JournalWriter::Owner)].queue.size(),
                        entry.advice.pending.size(),
--- a/src/dispatch/systems/order.cpp
+++ b/src/dispatch/systems/order.cpp
@@ -181,7 +181,7 @@
         std::ranges::sort(due, {}, &DueOrder::key);
     }
     const auto n = std::min(due.size(), allowed);
-    pacing.waiting = due.size() - n;
+    pacing.ordersWaiting = due.size() - n;
     for (std::size_t i = 0; i < n; ++i) {
         const auto run = due[i].run;
         if (!entry.work.runs.contains(run)) {
--- a/src/dispatch/systems/placement.cpp
+++ b/src/dispatch/systems/placement.cpp
@@ -72,10 +72,10 @@
     });
 }
 
-/** Removes from Work::waiting the groups that have no waiting tasks or no longer exist. */
+/** Removes from Work::waitingGroups the groups that have no waiting tasks or no longer exist. */
 void removeGroupsNotWaiting(Entry &entry)
 {
-    std::erase_if(entry.work.waiting, [&](GroupRef it) {
+    std::erase_if(entry.work.waitingGroups, [&](GroupRef it) {
         if (!entry.work.groups.contains(it)) {
             return true;
         }
@@ -87,23 +87,23 @@
 
 /** Sorts the waiting groups by the sort keys that an order computes for them. */
 template<GroupOrder Order>
-void sortWaiting(Entry &entry, const TickTime &time)
+void sortWaitingGroups(Entry &entry, const TickTime &time)
 {
     using Key = decltype(Order::key(GroupView{}));
     std::vector<std::pair<Key, GroupRef>> keyed;
-    keyed.reserve(entry.work.waiting.size());
+    keyed.reserve(entry.work.waitingGroups.size());
     auto &pass = entry.work.pass;
-    pass.waiting = {};
-    pass.waitingGangs = 0;
-    for (const auto it : entry.work.waiting) {
+    pass.groupsWaiting = {};
+    pass.gangsWaiting = 0;
+    for (const auto it : entry.work.waitingGroups) {
         const auto view = viewOf(entry, it, time);
-        ++pass.waiting[static_cast<std::size_t>(view.timeliness)];
-        pass.waitingGangs += stepOf(entry, it).gang ? 1 : 0;
+        ++pass.groupsWaiting[static_cast<std::size_t>(view.timeliness)];
+        pass.gangsWaiting += stepOf(entry, it).gang ? 1 : 0;
         keyed.emplace_back(Order::key(view), it);
     }
     std::ranges::sort(keyed);
     for (std::size_t n = 0; n < keyed.size(); ++n) {
-        entry.work.waiting[n] = keyed[n].second;
+        entry.work.waitingGroups[n] = keyed[n].second;
     }
 }
 
@@ -157,7 +157,7 @@
         return;
     }
     openDueOccurrences(entry, time);
-    if (entry.work.waiting.empty()) {
+    if (entry.work.waitingGroups.empty()) {
         entry.work.passRequested = false;
         return;
     }
@@ -165,8 +165,9 @@
         entry.wakeBy(entry.work.passAt);
         return;
     }
-    if (entry.workers.pacing.waiting > entry.workers.pacing.window) {
-        entry.wakeBy(time.now + passInterval); // what waits here is still ordered by urgency; what is placed is not
+    if (entry.workers.pacing.ordersWaiting > entry.workers.pacing.window) {
+        // each pass sorts the waiting groups by urgency; the waiting orders keep the sequence of earlier passes
+        entry.wakeBy(time.now + passInterval);
         return;
     }
     if (!entry.work.passRequested && time.now < entry.work.fullPassAt) {
@@ -175,13 +176,13 @@
     }
     constexpr Milliseconds fullPassInterval{150}; // without a request, while groups wait; `passAt` can be later
     constexpr std::size_t groupsPerMillisecond = 100; // each 100 waiting groups delay the next pass by 1 ms
-    entry.work.passAt = time.now + passInterval + Milliseconds(entry.work.waiting.size() / groupsPerMillisecond);
+    entry.work.passAt = time.now + passInterval + Milliseconds(entry.work.waitingGroups.size() / groupsPerMillisecond);
     entry.work.fullPassAt = time.now + fullPassInterval;
     entry.work.passRequested = false;
     removeGroupsNotWaiting(entry);
-    sortWaiting<FairOrder>(entry, time);
+    sortWaitingGroups<FairOrder>(entry, time);
     beginPass(entry, time);
-    for (const auto group : entry.work.waiting) {
+    for (const auto group : entry.work.waitingGroups) {
         Placer<FitChoice> placer(entry, group, time);
         if (const auto placed = placer.place(); placed > 0) {
             logPlacement(entry, group, placed, time);
--- a/src/dispatch/work_base.h
+++ b/src/dispatch/work_base.h
@@ -54,7 +54,7 @@
 /** Progress of a group. */
 struct GroupState {
     bool open = false; ///< The earlier steps are done and the occurrence is due: tasks of the group may be placed.
-    bool listed = false; ///< The group is in Work::waiting.
+    bool listed = false; ///< The group is in Work::waitingGroups.
     std::uint32_t done = 0; ///< Number of tasks that are done.
     std::uint32_t failures = 0; ///< For a gang: number of attempts of which at least one run failed.
     RunNumber failedRun = 0; ///< For a gang: number of the last run that was counted in `failures`.
@@ -155,8 +155,8 @@
     std::vector<PassPool> pools; ///< The workers that accept tasks.
     std::vector<UnplaceableDemand> unplaceable; ///< Demands that were found to be unplaceable.
     std::uint32_t largeReservations = 0; ///< Reservations made in the pass for large tasks that fit on no worker yet.
-    std::array<std::uint32_t, enumSize<Timeliness>> waiting{}; ///< Groups that wait, by their timeliness.
-    std::uint32_t waitingGangs = 0; ///< Those of them that are gangs.
+    std::array<std::uint32_t, enumSize<Timeliness>> groupsWaiting{}; ///< Number of waiting groups, by their timeliness.
+    std::uint32_t gangsWaiting = 0; ///< Number of waiting groups that are gangs.
 };
 
 /** All active work. Empty on daemons that are not the owner. */
@@ -168,7 +168,7 @@
     absl::flat_hash_map<JobRef, std::vector<OccurrenceRef>, JobRefHash> byJob;
     absl::flat_hash_map<TaskName, RunRef> runByTask;
     absl::flat_hash_map<std::string, Resources> teamUse; ///< Resources that the runs of each team use.
-    std::vector<GroupRef> waiting; ///< Open groups with waiting tasks; each pass sorts them.
+    std::vector<GroupRef> waitingGroups; ///< Open groups with waiting tasks; each pass sorts them.
     std::vector<OccurrenceRef> dirty; ///< Occurrences whose progress must be written to the journal.
     std::vector<OccurrenceRef> deferred; ///< Occurrences whose progress is written at `deferredUntil` at the latest.
     MonotonicTime deferredUntil{}; ///< Valid unless `deferred` is empty.
--- a/src/dispatch/work_step.cpp
+++ b/src/dispatch/work_step.cpp
@@ -48,7 +48,7 @@
     auto &state = work.groups.get<GroupState>(group);
     if (state.open && !state.listed) {
         state.listed = true;
-        work.waiting.push_back(group);
+        work.waitingGroups.push_back(group);
     }
     work.passRequested = true;
 }
--- a/src/dispatch/worker_base.h
+++ b/src/dispatch/worker_base.h
@@ -80,7 +80,7 @@
     std::uint32_t window = 64; ///< Orders that may be in flight.
     MonotonicTime reducedAt{}; ///< When the window was last reduced.
     MonotonicTime congestedAt{}; ///< When the link was last found to be congested; zero before.
-    std::size_t waiting = 0; ///< Orders that were due at the last tick and exceeded the window.
+    std::size_t ordersWaiting = 0; ///< Number of orders that were due at the last tick and exceeded the window.
 };
 
 /** How many workers were silent at the last tick: those whose latest poll got no response. */
--- a/tests/dispatch_latency_test.cpp
+++ b/tests/dispatch_latency_test.cpp
@@ -237,7 +237,7 @@
         }
         world.run(Milliseconds{1'500});
         auto &entry = world.entry(0);
-        CPPUNIT_ASSERT(!entry.work.waiting.empty());
+        CPPUNIT_ASSERT(!entry.work.waitingGroups.empty());
         CPPUNIT_ASSERT(entry.work.pass.largeReservations > 0);
         entry.workers.table.forEach([&](WorkerRef worker) {
             CPPUNIT_ASSERT(entry.workers.table.get<WorkerLoad>(worker).reservedInPass < entry.work.pass.number);
