--- a/src/dispatch/systems/advice.cpp
+++ b/src/dispatch/systems/advice.cpp
@@ -1,4 +1,5 @@
-#include "dispatch/policy/placer.h"
+#include "dispatch/entry_func.h"
+#include "dispatch/policy/worker_evaluation.h"
 #include "dispatch/systems/systems.h"
 
 #include <algorithm>
@@ -10,7 +11,6 @@
 {
 
 constexpr std::size_t workersPerRequest = 40; ///< Up to this size a request is filled with workers without a decision.
-constexpr std::size_t maxWorkersPerRequest = 100; ///< The service rejects longer requests.
 /** Maximum short requests in flight through one relay. The service serves the requests of one host sequentially. */
 constexpr std::uint32_t shortRequestsPerRelay = 4;
 constexpr double longRequestMs = 100; ///< Requests that take longer are long; a relay sends only one of them at a time.
@@ -74,14 +74,6 @@
     return best;
 }
 
-/** Returns the number of tasks of a group that wait to be placed. */
-std::size_t waitingTasks(const Entry &entry, GroupRef group)
-{
-    const auto &tasks = entry.work.groups.get<GroupState>(group).tasks;
-    return static_cast<std::size_t>(std::ranges::count_if(
-        tasks, [&](TaskRef it) { return entry.work.tasks.get<TaskState>(it).phase == TaskPhase::Waiting; }));
-}
-
 /** Ids of the workers to include in a request. */
 struct RequestWorkers {
     std::vector<std::string> all;
@@ -97,7 +89,7 @@
  */
 RequestWorkers chooseWorkers(Entry &entry, GroupRef group, const TickTime &time)
 {
-    const Placer<FitChoice> placer(entry, group, time);
+    const WorkerEvaluation evaluation(entry, group, time);
     const auto &tickets = entry.work.groups.get<GroupAdvice>(group).tickets;
     std::vector<std::pair<std::int64_t, std::string>> undecided;
     std::vector<std::pair<std::int64_t, std::string>> renewable;
@@ -105,10 +97,10 @@
         const auto &identity = entry.workers.table.get<WorkerIdentity>(worker);
         const auto free = identity.capacity - entry.workers.table.get<WorkerLoad>(worker).used;
         if (!tickets.contains(identity.id)) {
-            if (placer.isUsable(worker)) {
+            if (evaluation.isUsable(worker)) {
                 undecided.emplace_back(-free.cpuMilli, identity.id);
             }
-        } else if (placer.evaluate(worker) == Fit::NeedsTicket) {
+        } else if (evaluation.evaluate(worker) == Fit::NeedsTicket) {
             renewable.emplace_back(-free.cpuMilli, identity.id);
         }
     });
@@ -120,9 +112,10 @@
     for (std::size_t n = 0; n < renewable.size() && n < wanted; ++n) {
         workers.renewing.push_back(std::move(renewable[n].second));
     }
-    workers.renewing.resize(std::min(workers.renewing.size(), maxWorkersPerRequest));
+    workers.renewing.resize(std::min(workers.renewing.size(), entry.maxAdviceWorkers));
     workers.all = workers.renewing;
-    for (std::size_t n = 0; n < undecided.size() && workers.all.size() < workersPerRequest; ++n) {
+    const auto limit = std::min(workersPerRequest, entry.maxAdviceWorkers);
+    for (std::size_t n = 0; n < undecided.size() && workers.all.size() < limit; ++n) {
         workers.all.push_back(std::move(undecided[n].second));
     }
     return workers;
@@ -156,7 +149,7 @@
     request.timeout = Milliseconds(static_cast<std::int64_t>(costMs + relay->second.pendingMs)) + responseSlack;
     auto &advice = entry.work.groups.get<GroupAdvice>(group);
     advice.pendingNumber = request.number;
-    const auto renewed = std::min(advice.workersToRenew.size(), maxWorkersPerRequest);
+    const auto renewed = std::min(advice.workersToRenew.size(), entry.maxAdviceWorkers);
     advice.workersToRenew.erase(advice.workersToRenew.begin(),
                                 advice.workersToRenew.begin() + static_cast<std::ptrdiff_t>(renewed));
     advice.renewing = std::move(workers.renewing);
