Let a read of the store go on while its response arrives

Cause: a read had 500 ms beyond its wait for the whole response, while one record can be as long as it likes. A host with a link of 10 Mbit/s never received a configuration of some 600 KB in time; the limit of a read's size did not help, as a read contains one record at least. Each try began anew, took the link from the others, and the view of the configuration grew older without end. Class: a fixed time-out on work whose size is not bounded, retried from its beginning. A link without progress is noticed as fast as before.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "core/table.h"
+#include "net/clock.h"
 #include "net/coroutine.h"
 #include "net/endpoint.h"
 #include "table/http_table.h"
@@ -10,6 +11,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -174,6 +176,28 @@
     return true;
 }
 
+/** Receives a response; its time-out begins anew with each part that arrives if the call says so. */
+awaitable<error_code> receiveResponse(beast::tcp_stream &stream,
+                                      const HttpCall &call,
+                                      http::response_parser<http::string_body> &parser,
+                                      beast::flat_buffer &buf,
+                                      StepTraffic &traffic)
+{
+    const SystemClock clock;
+    const auto endsAt = clock.now() + call.maxReceiveTime;
+    while (!parser.is_done()) {
+        const auto [ec, received] = co_await http::async_read_some(stream, buf, parser, useTuple);
+        traffic.receivedBytes += received;
+        if (ec) {
+            co_return ec;
+        }
+        if (call.maxReceiveTime > Milliseconds::zero()) {
+            stream.expires_after(std::min(call.timeout, Milliseconds(endsAt - clock.now())));
+        }
+    }
+    co_return error_code{};
+}
+
 /**
  * Sends a request on an open connection and receives the response.
  * @param traffic Counts the bytes.
@@ -190,10 +214,8 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(call.maxResponseBytes);
     beast::flat_buffer buf;
-    const auto [readError, received] = co_await http::async_read(stream, buf, parser, useTuple);
-    traffic.receivedBytes += received;
-    if (readError) {
-        co_return noResponseError(call, readError);
+    if (const auto ec = co_await receiveResponse(stream, call, parser, buf, traffic); ec) {
+        co_return noResponseError(call, ec);
     }
     keepAlive = parser.get().keep_alive() && buf.size() == 0;
     co_return toResponse(parser.release());
--- a/src/net/http_type.h
+++ b/src/net/http_type.h
@@ -73,7 +73,9 @@
     std::vector<HttpField> fields{}; ///< Header fields.
     std::string contentType = "application/json"; ///< Type of the body; not sent without a body.
     std::string body{};
-    Milliseconds timeout{2'000}; ///< Covers connecting, sending and receiving.
+    Milliseconds timeout{2'000}; ///< Covers connecting, sending and receiving, unless `maxReceiveTime` is set.
+    /** If not zero, `timeout` begins anew with each part of the response that arrives, for this time at most. */
+    Milliseconds maxReceiveTime{0};
     std::size_t maxResponseBytes = 4 * 1024 * 1024;
     Step step = Step::Sync; ///< Processing step that an error of this call reports.
 };
