Share the scaffolding of the dispatch tests

Change: tests/dispatch_fixture.h holds settleTime and the includes; submitForOneWorker() is the set-up of the two tests. No assertion and no list of tests changed: the sorted CPPUNIT_ASSERT lines of tests/dispatch*_test.cpp are the same as before.

--- a/tests/dispatch_failure_test.cpp
+++ b/tests/dispatch_failure_test.cpp
@@ -1,20 +1,11 @@
 /** @file dispatch_failure_test.cpp Tests of entry daemons while daemons, the store and workers fail. */
 #include "dispatch/work_func.h"
-#include "fakes/dispatch_world.h"
-
-#include <cppunit/extensions/HelperMacros.h>
+#include "dispatch_fixture.h"
 
 using namespace flamingotally;
 using namespace flamingotally::dispatch;
 using namespace flamingotally::fakes;
 
-namespace
-{
-
-constexpr Milliseconds settleTime{2'000}; ///< Time within which a first owner exists and has polled the workers.
-
-} // namespace
-
 class DispatchFailureTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(DispatchFailureTest);
--- a/tests/dispatch_latency_test.cpp
+++ b/tests/dispatch_latency_test.cpp
@@ -1,7 +1,5 @@
 /** @file dispatch_latency_test.cpp Tests that callers and placements wait no longer than necessary. */
-#include "fakes/dispatch_world.h"
-
-#include <cppunit/extensions/HelperMacros.h>
+#include "dispatch_fixture.h"
 
 using namespace flamingotally;
 using namespace flamingotally::dispatch;
@@ -10,7 +8,6 @@
 namespace
 {
 
-constexpr Milliseconds settleTime{2'000}; ///< Time within which a first owner exists and has polled the workers.
 constexpr Milliseconds longPause{3'600'000}; ///< Longer than any test runs.
 
 } // namespace
@@ -128,15 +125,7 @@
     {
         constexpr JobId jobs = 30;
         DispatchWorld world(2, 2);
-        requireAdvice(world, 20);
-        world.refusedWorkers = {"w1"};
-        world.run(settleTime);
-        auto step = plainStep(1);
-        step.perTask = world.worker(0).capacity();
-        for (JobId job = 1; job <= jobs; ++job) {
-            world.scripts[{job, 0, 0, 0}] = {{Milliseconds{20'000}, RunEnd::Done}};
-            world.submit(0, job, jobOf({step}));
-        }
+        submitForOneWorker(world, jobs);
         world.run(Milliseconds{4'000});
         const auto &counters = world.entry(world.owner().value()).counters;
         const auto before = counters.workersEvaluated;
@@ -195,15 +184,7 @@
     {
         constexpr JobId jobs = 10;
         DispatchWorld world(2, 2);
-        requireAdvice(world, 20);
-        world.refusedWorkers = {"w1"};
-        world.run(settleTime);
-        auto step = plainStep(1);
-        step.perTask = world.worker(0).capacity();
-        for (JobId job = 1; job <= jobs; ++job) {
-            world.scripts[{job, 0, 0, 0}] = {{Milliseconds{20'000}, RunEnd::Done}};
-            world.submit(0, job, jobOf({step}));
-        }
+        submitForOneWorker(world, jobs);
         world.run(Milliseconds{5'000});
         const auto &counters = world.entry(world.owner().value()).counters;
         const auto before = counters.adviceRequests;
@@ -280,6 +261,23 @@
         world.publish(configuration);
     }
 
+    /**
+     * Submits jobs to a cell of two workers of which the policy service allows only the first. Each job takes the whole
+     * capacity of a worker for 20 s.
+     */
+    static void submitForOneWorker(DispatchWorld &world, JobId jobs)
+    {
+        requireAdvice(world, 20);
+        world.refusedWorkers = {"w1"};
+        world.run(settleTime);
+        auto step = plainStep(1);
+        step.perTask = world.worker(0).capacity();
+        for (JobId job = 1; job <= jobs; ++job) {
+            world.scripts[{job, 0, 0, 0}] = {{Milliseconds{20'000}, RunEnd::Done}};
+            world.submit(0, job, jobOf({step}));
+        }
+    }
+
     /** Makes the owner send no requests through two of the three other daemons. */
     static void avoidTwoRelays(DispatchWorld &world, std::size_t owner)
     {
--- a/tests/dispatch_overload_test.cpp
+++ b/tests/dispatch_overload_test.cpp
@@ -1,19 +1,10 @@
 /** @file dispatch_overload_test.cpp Tests of entry daemons whose link, host or own code fails them. */
-#include "fakes/dispatch_world.h"
-
-#include <cppunit/extensions/HelperMacros.h>
+#include "dispatch_fixture.h"
 
 using namespace flamingotally;
 using namespace flamingotally::dispatch;
 using namespace flamingotally::fakes;
 
-namespace
-{
-
-constexpr Milliseconds settleTime{2'000}; ///< Time within which a first owner exists and has polled the workers.
-
-} // namespace
-
 class DispatchOverloadTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(DispatchOverloadTest);
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -1,20 +1,11 @@
 /** @file dispatch_test.cpp Tests of entry daemons that dispatch through the store, as callers and workers see them. */
 #include "dispatch/policy/group_order.h"
-#include "fakes/dispatch_world.h"
-
-#include <cppunit/extensions/HelperMacros.h>
+#include "dispatch_fixture.h"
 
 using namespace flamingotally;
 using namespace flamingotally::dispatch;
 using namespace flamingotally::fakes;
 
-namespace
-{
-
-constexpr Milliseconds settleTime{2'000}; ///< Time within which a first owner exists and has polled the workers.
-
-} // namespace
-
 class DispatchTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(DispatchTest);
