Build a lost poll's response in one place in the fake ports

Change: lostResponse(); wallStart stands in dispatch_world.h, where tests see it. Values are unchanged.

--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -283,7 +283,6 @@
     /** Returns the wall time of the daemons. */
     static Milliseconds wallTimeOf(DispatchWorld &world)
     {
-        constexpr Milliseconds wallStart{1'700'000'000'000};
         return wallStart + world.now();
     }
 };
--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -19,7 +19,6 @@
 constexpr std::size_t orderBytes = 900; ///< Size of an order on the link, with the connection that it may open.
 constexpr std::size_t pollBytes = 400; ///< Size of a poll on the link.
 constexpr Milliseconds defaultAdviceTime{20}; ///< Response time of the policy service for jobs without a set time.
-constexpr Milliseconds wallStart{1'700'000'000'000}; ///< Wall time at the start of a world, since the Unix epoch.
 
 /** The ports of one daemon, and its clock. */
 class WorldPorts
@@ -143,13 +142,8 @@
         const auto n = m_world.indexOf(order.id);
         const auto sentAt = now();
         if (m_world.linkModes[n] == LinkMode::Cut) {
-            deliverLater(order.wait + Milliseconds{800}, [order, sentAt](Inbox &inbox) {
-                PollResponse lost;
-                lost.worker = order.worker;
-                lost.token = order.token;
-                lost.sentAt = sentAt;
-                inbox.pollResponses.push_back(lost);
-            });
+            deliverLater(order.wait + Milliseconds{800},
+                         [lost = lostResponse(order, sentAt)](Inbox &inbox) { inbox.pollResponses.push_back(lost); });
             return;
         }
         if (const auto delay = linkDelay(pollBytes); delay > Milliseconds{0}) {
@@ -275,6 +269,16 @@
         m_world.deliver(m_daemon, m_incarnation, delay, function);
     }
 
+    /** Returns what a daemon learns of a poll that got no response. */
+    static PollResponse lostResponse(const PollOrder &order, MonotonicTime sentAt)
+    {
+        PollResponse lost;
+        lost.worker = order.worker;
+        lost.token = order.token;
+        lost.sentAt = sentAt;
+        return lost;
+    }
+
     /** Responds to a poll after a delay; the response is lost if the link is cut when it is sent. */
     void respondToPoll(const PollOrder &order, MonotonicTime sentAt, Milliseconds delay)
     {
@@ -287,11 +291,8 @@
                 world->worker(n).poll(order, world->m_queue.now()); // executed, though nobody hears of it
             }
             if (isCut || isLate) {
-                world->deliver(daemon, incarnation, Milliseconds{isCut ? 1'000 : 0}, [order, sentAt](Inbox &inbox) {
-                    PollResponse lost;
-                    lost.worker = order.worker;
-                    lost.token = order.token;
-                    lost.sentAt = sentAt;
+                const auto lost = lostResponse(order, sentAt);
+                world->deliver(daemon, incarnation, Milliseconds{isCut ? 1'000 : 0}, [lost](Inbox &inbox) {
                     inbox.pollResponses.push_back(lost);
                 });
                 return;
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -18,6 +18,8 @@
 namespace flamingotally::fakes
 {
 
+constexpr Milliseconds wallStart{1'700'000'000'000}; ///< Wall time at the start of a world, since the Unix epoch.
+
 /** Fault mode of the store for the calls of a daemon. */
 enum class StoreMode : std::uint8_t {
     Up,
