Name the link mode that exists in a comment of the fake ports

Cause: the comment named LinkMode::Late; the mode is LinkMode::DelaysStarts. Change: the comment. Result: 270 tests pass; format and lint clean.

--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -15,7 +15,7 @@
 using namespace dispatch;
 
 constexpr Milliseconds messageDelay{2}; ///< One-way delay of every message.
-constexpr Milliseconds lateStartDelay{3'000}; ///< Delay of start orders on links in LinkMode::Late.
+constexpr Milliseconds lateStartDelay{3'000}; ///< Delay of start orders on links in LinkMode::DelaysStarts.
 constexpr std::size_t orderBytes = 900; ///< Size of an order on the link, with the connection that it may open.
 constexpr std::size_t pollBytes = 400; ///< Size of a poll on the link.
 constexpr Milliseconds defaultAdviceTime{20}; ///< Response time of the policy service for jobs without a set time.
