--- /dev/null
+++ b/tests/dispatch_review_test.cpp
@@ -0,0 +1,160 @@
+/** @file dispatch_review_test.cpp Tests of owners that act on an old view, or release ownership for a wrong reason. */
+#include "fakes/dispatch_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace flamingotally;
+using namespace flamingotally::dispatch;
+using namespace flamingotally::fakes;
+
+namespace
+{
+
+constexpr std::size_t daemonCount = 3;
+constexpr Milliseconds settleTime{2'000}; ///< Time within which a first owner exists and has polled the workers.
+/** Time within which no run of a job is left after its acknowledged cancellation, on any deployment. */
+constexpr Milliseconds cancelLimit{3'400};
+/** Time after which no run is started on a worker that has reported that it drains. */
+constexpr Milliseconds drainLimit{2'000};
+
+/** Returns a job of one task that runs until it is cancelled. */
+JobSpec endlessJob()
+{
+    auto step = plainStep(1);
+    step.endless = true;
+    return jobOf({step});
+}
+
+/** Sets the fault mode of the store for the calls of all daemons. */
+void setStoreMode(DispatchWorld &world, StoreMode mode)
+{
+    for (std::size_t n = 0; n < daemonCount; ++n) {
+        world.storeModes[n] = mode;
+    }
+}
+
+} // namespace
+
+class DispatchReviewTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DispatchReviewTest);
+    CPPUNIT_TEST(keepsOwnershipWhenAllDaemonsRegainTheStore);
+    CPPUNIT_TEST(startsNothingOnAWorkerThatDrainsForLongerThanItsLimit);
+    CPPUNIT_TEST(stopsRunsOfACancelledJobSoonAfterAnOwnerHasShutDown);
+    CPPUNIT_TEST(placesWorkWhenOnlyTheLastDaemonReadsTheConfiguration);
+    CPPUNIT_TEST(startsNoPlacedRunOnAWorkerThatDrainsSince);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** An owner whose append was stored before its first read succeeded released the cell, as if others read better. */
+    void keepsOwnershipWhenAllDaemonsRegainTheStore()
+    {
+        constexpr Milliseconds firstOutage{4'000};
+        constexpr Milliseconds lastOutage{4'120}; // so that reads and appends meet the end of the outage in any order
+        constexpr Milliseconds increment{8};
+        for (auto outage = firstOutage; outage <= lastOutage; outage += increment) {
+            DispatchWorld world(daemonCount, 2);
+            world.run(settleTime);
+            const auto owner = world.owner().value();
+            world.scripts[{1, 0, 0, 0}] = {{Milliseconds{600'000}, RunEnd::Done}};
+            world.submit(owner, 1, endlessJob());
+            world.run(Milliseconds{2'000});
+            setStoreMode(world, StoreMode::Down);
+            world.run(outage);
+            setStoreMode(world, StoreMode::Up);
+            world.run(Milliseconds{1'000});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(outage.count()), owner, world.owner().value_or(daemonCount));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
+            assertNoViolations(world);
+        }
+    }
+
+    /** The limit of the age of the list of workers was longer than the time after which a draining worker gets no runs.
+     */
+    void startsNothingOnAWorkerThatDrainsForLongerThanItsLimit()
+    {
+        DispatchWorld world(daemonCount, 2);
+        world.run(settleTime);
+        const auto owner = world.owner().value();
+        world.daemonsWithoutWorkerList.insert(owner);
+        world.listWorker(1, true);
+        world.run(drainLimit);
+        world.submit((owner + 1) % daemonCount, 1, jobOf({plainStep(8)}));
+        world.run(Milliseconds{4'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.startsOn(1));
+        CPPUNIT_ASSERT(world.phaseAt((owner + 1) % daemonCount, 1) == JobPhase::Completed);
+        assertNoViolations(world);
+    }
+
+    /** An owner that had taken over after a release kept the cell for 15 s without reading the journal. */
+    void stopsRunsOfACancelledJobSoonAfterAnOwnerHasShutDown()
+    {
+        DispatchWorld world(daemonCount, 2);
+        world.run(settleTime);
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{600'000}, RunEnd::Done}};
+        world.submit(world.owner().value(), 1, endlessJob());
+        world.run(Milliseconds{500});
+        world.entry(world.owner().value()).phase = EntryPhase::Draining;
+        world.run(Milliseconds{5'000});
+        const auto owner = world.owner().value();
+        auto other = (owner + 1) % daemonCount;
+        other = world.entry(other).phase == EntryPhase::Draining ? (owner + 2) % daemonCount : other;
+        CPPUNIT_ASSERT(world.runningOn({1, 0, 0, 0}).has_value());
+        world.storeModes[owner] = StoreMode::AnswersNoReads;
+        world.run(Milliseconds{100});
+        const auto handle = world.call(other, CallVerb::Cancel, 1);
+        world.run(cancelLimit);
+        CPPUNIT_ASSERT(world.responseTo(handle)->result == CallResult::Done);
+        CPPUNIT_ASSERT(!world.runningOn({1, 0, 0, 0}));
+        assertNoViolations(world);
+    }
+
+    /** A daemon that did not read the configuration claimed before one that did, and then kept the cell for 15 s. */
+    void placesWorkWhenOnlyTheLastDaemonReadsTheConfiguration()
+    {
+        for (std::size_t good = 0; good < daemonCount; ++good) {
+            DispatchWorld world(daemonCount, 2);
+            world.run(settleTime);
+            if (world.owner() == good) {
+                continue;
+            }
+            for (std::size_t n = 0; n < daemonCount; ++n) {
+                if (n != good) {
+                    world.daemonsWithoutConfig.insert(n);
+                }
+            }
+            world.run(Milliseconds{5'500});
+            world.submit(good, 1, jobOf({plainStep(2)}));
+            world.run(Milliseconds{3'000});
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                std::to_string(good), std::size_t{2}, world.startsOn(0) + world.startsOn(1));
+            assertNoViolations(world);
+        }
+    }
+
+    /** A run that was placed before its worker began to drain was started however late its record was stored. */
+    void startsNoPlacedRunOnAWorkerThatDrainsSince()
+    {
+        constexpr Milliseconds storeDelay{2'300};
+        DispatchWorld world(daemonCount, 2);
+        world.run(settleTime);
+        const auto owner = world.owner().value();
+        world.submit((owner + 1) % daemonCount, 1, jobOf({plainStep(8)}));
+        world.storeDelay = storeDelay;
+        while (world.entry(owner).work.runs.size() == 0 && world.now() < Milliseconds{10'000}) {
+            world.run(Milliseconds{1});
+        }
+        CPPUNIT_ASSERT(world.entry(owner).work.runs.size() > 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.startsOn(1));
+        world.listWorker(1, true);
+        world.run(drainLimit);
+        const auto startsBefore = world.startsOn(1);
+        world.storeDelay = Milliseconds{0};
+        world.run(Milliseconds{5'000});
+        CPPUNIT_ASSERT_EQUAL(startsBefore, world.startsOn(1));
+        CPPUNIT_ASSERT(world.startsOn(0) >= 4);
+        assertNoViolations(world);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatchReviewTest);
