Release no ownership because appends reach a returning store before reads

What callers saw: nothing yet; found by review. After each outage of the store of some seconds the owner released the cell, although all daemons regained the store at the same moment; nobody renews leases until the next owner has polled the workers. Cause: isStale() compared views as old as the outage with one append that was stored a moment ago. Change: failed reads count once batches have been stored for 1.5 s (Ownership::storingSince), a failed read and its repeat. Evidence: keepsOwnershipWhenAllDaemonsRegainTheStore failed before (at an outage of 4,008 ms) and passes.

--- a/src/dispatch/systems/ownership.cpp
+++ b/src/dispatch/systems/ownership.cpp
@@ -31,6 +31,8 @@
 constexpr Milliseconds overloadBackoff{10'000}; ///< Such an owner claims nothing for this long.
 /** While the newest stored batch was sent more recently than this, the owner's appends get through. */
 constexpr Milliseconds storedBatchAgeLimit{1'000};
+/** After the store was out of reach, reads have this long to succeed before their failures count. */
+constexpr Milliseconds readGraceTime{1'500};
 /** Time for other daemons to read the release; this daemon claims nothing during it. */
 constexpr Milliseconds yieldBackoff{1'500};
 /**
@@ -194,7 +196,8 @@
 bool isStale(Entry &entry, const TickTime &time)
 {
     auto &ownership = entry.ownership;
-    const bool storesBatches = time.now - ownership.storedBatchSentAt < storedBatchAgeLimit;
+    const bool storesBatches = time.now - ownership.storedBatchSentAt < storedBatchAgeLimit
+        && time.now - ownership.storingSince >= readGraceTime;
     if (!storesBatches || hasFreshViews(entry, time) || ownership.daemons.size() < 2 || !mayYield(entry, time)) {
         return false;
     }
--- a/src/dispatch/systems/read_journal.cpp
+++ b/src/dispatch/systems/read_journal.cpp
@@ -162,6 +162,7 @@
     ownership.phase = OwnerPhase::Owner;
     ownership.claimedAt = time.now;
     ownership.storedBatchSentAt = time.now;
+    ownership.storingSince = time.now;
     ownership.previousOwnerStoppedAt = {};
     RecordApplier(entry, time, 0, true).updatePreviousOwner();
     buildWork(entry, time);
--- a/src/dispatch/systems/write_journal.cpp
+++ b/src/dispatch/systems/write_journal.cpp
@@ -19,6 +19,7 @@
 constexpr Milliseconds slowStorePeriod{3'000}; ///< How long the store counts as slow after a slow append.
 /** A fenced owner claims again only after this time, in which it reads the newer claim. */
 constexpr Milliseconds claimBackoff{400};
+constexpr Milliseconds longestGap{1'000}; ///< After a longer time without a stored batch, the store was out of reach.
 constexpr Milliseconds shortestTimeout{450}; ///< Minimum time-out of an append.
 constexpr Milliseconds longestTimeout{3'000}; ///< Maximum time-out of an append.
 /** Time-out of an append as a multiple of the writer's estimate of the append latency. */
@@ -72,7 +73,11 @@
     writer.batch.reset();
     writer.mayBeStored = false;
     if (which == JournalWriter::Owner) {
-        entry.ownership.storedBatchSentAt = std::max(entry.ownership.storedBatchSentAt, writer.sentAt);
+        auto &ownership = entry.ownership;
+        if (writer.sentAt - ownership.storedBatchSentAt > longestGap) {
+            ownership.storingSince = writer.sentAt;
+        }
+        ownership.storedBatchSentAt = std::max(ownership.storedBatchSentAt, writer.sentAt);
     }
     respondToCallers(entry, writer, time);
     writer.handles.clear();
