Start nothing on a list of workers older than the time in which a draining worker may get runs

What callers saw: nothing yet; found by review. A worker got runs up to 3 s after it had reported that it drains. Cause: hasFreshViews() bounds the list by 3 s, and starts used the same limit; no run may start from 2 s (drainMs) on. Change: mayStart() asks for a list of under 1.8 s, 2 s less the time-out of an order; ownership still depends on 3 s. Evidence: startsNothingOnAWorkerThatDrainsForLongerThanItsLimit failed before (4 of 8 tasks ran there) and passes.

--- a/src/dispatch/entry.cpp
+++ b/src/dispatch/entry.cpp
@@ -12,6 +12,8 @@
 
 constexpr Milliseconds journalAgeLimit{2'000}; ///< An older view of the journal may lack cancellations.
 constexpr Milliseconds workerListAgeLimit{3'000}; ///< An older list may lack workers that drain or have shrunk.
+/** Starts need a newer list: a worker gets none from 2 s on after it has reported that it drains. */
+constexpr Milliseconds workerListStartLimit{1'800};
 constexpr Milliseconds configAgeLimit{4'000}; ///< An older view of the configuration may lack domains that are out.
 /** Added to the leases of previous owners, for slow clocks of workers and late ticks. */
 constexpr Milliseconds leaseMargin{400};
@@ -50,7 +52,8 @@
 
 bool mayStart(const Entry &entry, const TickTime &time)
 {
-    return isCertainOwner(entry, time) && hasFreshViews(entry, time);
+    return isCertainOwner(entry, time) && hasFreshViews(entry, time)
+        && time.now - entry.workers.asOf < workerListStartLimit;
 }
 
 bool isLinkInDoubt(const Entry &entry, const TickTime &time)
