Let daemons with an old view of the configuration claim after the others

What callers saw: nothing yet; found by review. A daemon that did not read the configuration claimed first and started nothing, for 15 s when it claimed after a release. Change: such a daemon waits 600 ms longer (staleConfigStagger); it still claims if nobody else does, and renews leases. Evidence: placesWorkWhenOnlyTheLastDaemonReadsTheConfiguration failed before (0 of 2 tasks started) and passes.

--- a/src/dispatch/entry.cpp
+++ b/src/dispatch/entry.cpp
@@ -44,10 +44,15 @@
     return entry.isOwner() && time.now - entry.ownership.storedBatchSentAt < entry.settings.isolationLimit;
 }
 
+bool hasFreshConfig(const Entry &entry, const TickTime &time)
+{
+    return time.now - entry.config.asOf < configAgeLimit;
+}
+
 bool hasFreshViews(const Entry &entry, const TickTime &time)
 {
     return time.now - entry.journal.asOf < journalAgeLimit && time.now - entry.workers.asOf < workerListAgeLimit
-        && time.now - entry.config.asOf < configAgeLimit;
+        && hasFreshConfig(entry, time);
 }
 
 bool mayStart(const Entry &entry, const TickTime &time)
--- a/src/dispatch/entry_func.h
+++ b/src/dispatch/entry_func.h
@@ -34,6 +34,9 @@
  */
 bool isCertainOwner(const Entry &entry, const TickTime &time);
 
+/** Returns true if this daemon's view of the configuration is recent enough for an owner. */
+bool hasFreshConfig(const Entry &entry, const TickTime &time);
+
 /**
  * Returns true if this owner's views of the journal, the list of workers and the configuration are recent, so that they
  * contain recent cancellations, departures and evacuations.
--- a/src/dispatch/systems/ownership.cpp
+++ b/src/dispatch/systems/ownership.cpp
@@ -20,6 +20,8 @@
 constexpr std::uint32_t largerFactor = 2;
 /** Added to the stagger of a daemon that has a much larger peer, so that the peer notices the missing owner first. */
 constexpr Milliseconds smallHostStagger{300};
+/** Added to the stagger of a daemon that could start nothing, as its view of the configuration is old. */
+constexpr Milliseconds staleConfigStagger{600};
 /** Minimum time from a claim until its owner yields, in which it can build its tables. */
 constexpr Milliseconds yieldDelay{2'000};
 /** The same for an owner that claimed after a release: better placed daemons did not claim then. */
@@ -97,7 +99,8 @@
     const bool isSlow = time.now < journal.slowUntil;
     const auto stagger = entry.settings.claimStagger * (isSlow ? slowStoreStaggerFactor : 1)
             * static_cast<std::int64_t>(rankAfter(entry, ownership.newest.token))
-        + (hasMuchLargerPeer(entry) ? smallHostStagger : Milliseconds::zero());
+        + (hasMuchLargerPeer(entry) ? smallHostStagger : Milliseconds::zero())
+        + (hasFreshConfig(entry, time) ? Milliseconds::zero() : staleConfigStagger);
     const auto lastActivityAt = std::max(ownership.ownerWroteAt, journal.readingSince);
     const auto timeout = entry.settings.ownerTimeout * (isSlow ? slowStoreTimeoutFactor : 1);
     const auto dueAt = lastActivityAt + stagger + (hasOwnerStopped(entry) ? Milliseconds{0} : timeout);
