--- a/src/dispatch/systems/ownership.cpp
+++ b/src/dispatch/systems/ownership.cpp
@@ -20,6 +20,8 @@
 constexpr std::uint32_t largerFactor = 2;
 /** Added to the stagger of a daemon that has a much larger peer, so that the peer notices the missing owner first. */
 constexpr Milliseconds smallHostStagger{300};
+/** Added to the stagger of a daemon that could start nothing, as its view of the configuration is old. */
+constexpr Milliseconds staleConfigStagger{600};
 /** Minimum time from a claim until its owner yields, in which it can build its tables. */
 constexpr Milliseconds yieldDelay{2'000};
 /** The same for an owner that claimed after a release: better placed daemons did not claim then. */
@@ -31,6 +33,8 @@
 constexpr Milliseconds overloadBackoff{10'000}; ///< Such an owner claims nothing for this long.
 /** While the newest stored batch was sent more recently than this, the owner's appends get through. */
 constexpr Milliseconds storedBatchAgeLimit{1'000};
+/** After the store was out of reach, reads have this long to succeed before their failures count. */
+constexpr Milliseconds readGraceTime{1'500};
 /** Time for other daemons to read the release; this daemon claims nothing during it. */
 constexpr Milliseconds yieldBackoff{1'500};
 /**
@@ -95,7 +99,8 @@
     const bool isSlow = time.now < journal.slowUntil;
     const auto stagger = entry.settings.claimStagger * (isSlow ? slowStoreStaggerFactor : 1)
             * static_cast<std::int64_t>(rankAfter(entry, ownership.newest.token))
-        + (hasMuchLargerPeer(entry) ? smallHostStagger : Milliseconds::zero());
+        + (hasMuchLargerPeer(entry) ? smallHostStagger : Milliseconds::zero())
+        + (hasFreshConfig(entry, time) ? Milliseconds::zero() : staleConfigStagger);
     const auto lastActivityAt = std::max(ownership.ownerWroteAt, journal.readingSince);
     const auto timeout = entry.settings.ownerTimeout * (isSlow ? slowStoreTimeoutFactor : 1);
     const auto dueAt = lastActivityAt + stagger + (hasOwnerStopped(entry) ? Milliseconds{0} : timeout);
@@ -194,7 +199,8 @@
 bool isStale(Entry &entry, const TickTime &time)
 {
     auto &ownership = entry.ownership;
-    const bool storesBatches = time.now - ownership.storedBatchSentAt < storedBatchAgeLimit;
+    const bool storesBatches = time.now - ownership.storedBatchSentAt < storedBatchAgeLimit
+        && time.now - ownership.storingSince >= readGraceTime;
     if (!storesBatches || hasFreshViews(entry, time) || ownership.daemons.size() < 2 || !mayYield(entry, time)) {
         return false;
     }
