Test that cancellations end runs whatever befalls their orders

No test lost, delayed or repeated a stop order, and the test world could not. Change: the test world loses stop orders or their responses or executes them late, restarts, moves and relists workers, carries stop orders over narrow links, and sends no order to an old or unknown address. Ten tests in tests/dispatch_cancel_orders_test.cpp: failing stops; draining, relisted and moved workers; late starts; owners killed in a row, frozen; a cancellation without response; a restart of all, without history too; gangs and occurrences; a large job over a narrow link; a late start after a restart of the worker. No code of the program changed.

--- /dev/null
+++ b/tests/dispatch_cancel_orders_test.cpp
@@ -0,0 +1,262 @@
+/** @file dispatch_cancel_orders_test.cpp Tests that a cancellation ends runs in time whatever befalls its orders. */
+#include "fakes/dispatch_world.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace flamingotally;
+using namespace flamingotally::dispatch;
+using namespace flamingotally::fakes;
+
+namespace
+{
+
+constexpr Milliseconds settleTime{2'000}; ///< Time within which a first owner exists and has polled the workers.
+/** Time within which no run is left after its job's acknowledged cancellation, or after its own late start. */
+constexpr Milliseconds cancelLimit{3'400};
+
+/** Returns a step whose tasks run until they are cancelled. */
+StepSpec endlessStep(std::uint32_t count)
+{
+    auto step = plainStep(count);
+    step.endless = true;
+    return step;
+}
+
+/** Returns the wall clock of the daemons of a world. */
+Milliseconds wallTimeOf(const DispatchWorld &world)
+{
+    return Milliseconds{1'700'000'000'000} + world.now();
+}
+
+/** A settled cell whose jobs are cancelled. Runs without a script take 10 min. */
+class CancelWorld : public DispatchWorld
+{
+public:
+    CancelWorld(std::size_t daemons, std::size_t workers) : DispatchWorld(daemons, workers)
+    {
+        defaultScript.work = Milliseconds{600'000};
+        run(settleTime);
+    }
+
+    /** Returns the index of a daemon that does not own the cell. */
+    std::size_t follower() const
+    {
+        return owner().value() == 0 ? 1 : 0;
+    }
+
+    /** Submits an endless job of one task, and returns the worker on which the task runs. */
+    std::size_t startEndless(JobId id)
+    {
+        submit(0, id, jobOf({endlessStep(1)}));
+        run(Milliseconds{500});
+        return runningOn({id, 0, 0, 0}).value();
+    }
+
+    /** Cancels a job at a daemon; the cancellation must be acknowledged within the given time. */
+    void cancel(JobId id, std::size_t daemon = 1, Milliseconds time = Milliseconds{100})
+    {
+        const auto handle = call(daemon, CallVerb::Cancel, id);
+        run(time);
+        CPPUNIT_ASSERT(responseTo(handle).has_value());
+        CPPUNIT_ASSERT(responseTo(handle)->result == CallResult::Done);
+    }
+
+    /** Cancels job 1 a while after its start orders were sent. The only worker executes them after 3 s. */
+    void cancelBeforeALateStart(Milliseconds age = Milliseconds{1'000})
+    {
+        linkModes[0] = LinkMode::DelaysStarts;
+        submit(0, 1, jobOf({endlessStep(1)}));
+        run(age);
+        cancel(1, 1, Milliseconds{60});
+    }
+
+    /** Restarts the only worker after a while, and waits until it has executed the late start order of job 1. */
+    void restartAndStartLate(Milliseconds time)
+    {
+        run(time);
+        restartWorker(0);
+        for (int n = 0; n < 200 && startsOf({1, 0, 0, 0}) == 0; ++n) {
+            run(Milliseconds{10});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, startsOf({1, 0, 0, 0}));
+    }
+
+    /** Fails the test if a task of the first step of a job runs after the given time. @param size Occurrences, tasks.
+     */
+    void assertEnds(JobId id, Milliseconds time = cancelLimit, std::pair<std::uint32_t, std::uint32_t> size = {1, 1})
+    {
+        run(time);
+        for (std::uint32_t n = 0; n < size.first * size.second; ++n) {
+            CPPUNIT_ASSERT(!runningOn({id, n / size.second, 0, n % size.second}));
+        }
+        assertNoViolations(*this);
+    }
+};
+
+} // namespace
+
+class DispatchCancelOrdersTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DispatchCancelOrdersTest);
+    CPPUNIT_TEST(endsRunsWhoseStopOrdersFail);
+    CPPUNIT_TEST(endsRunsOfWorkersThatAreDrainingRelistedOrMoved);
+    CPPUNIT_TEST(startsNothingLateAfterAStop);
+    CPPUNIT_TEST(endsRunsAcrossChangesOfTheOwner);
+    CPPUNIT_TEST(endsRunsWhenTheOwnerIsFrozen);
+    CPPUNIT_TEST(endsRunsWhenTheCancellationIsStoredWithoutResponse);
+    CPPUNIT_TEST(endsRunsAfterARestartOfAllDaemons);
+    CPPUNIT_TEST(endsGangsOfAllOccurrences);
+    CPPUNIT_TEST(endsALargeJobOverANarrowLink);
+    CPPUNIT_TEST(stopsALateRunOfARestartedWorker);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void endsRunsWhoseStopOrdersFail()
+    {
+        using enum StopFault;
+        using Faults = std::deque<StopFault>;
+        for (const auto &faults :
+             {Faults{Lost, Lost, Lost}, Faults{Unanswered, Unanswered}, Faults{Late, Late, Lost}}) {
+            CancelWorld world(3, 2);
+            world.stopFaults[world.startEndless(1)] = faults;
+            world.cancel(1);
+            world.assertEnds(1);
+        }
+    }
+
+    void endsRunsOfWorkersThatAreDrainingRelistedOrMoved()
+    {
+        const std::vector<std::function<void(CancelWorld &, std::size_t)>> changes{
+            [](CancelWorld &world, std::size_t worker) { world.listWorker(worker, true); },
+            [](CancelWorld &world, std::size_t worker) { world.unlistWorker(worker); },
+            [](CancelWorld &world, std::size_t worker) {
+                world.moveWorker(worker, "elsewhere");
+            }};
+        for (const auto &change : changes) {
+            CancelWorld world(3, 2);
+            const auto worker = world.startEndless(1);
+            world.startEndless(2);
+            change(world, worker);
+            world.cancel(1);
+            world.listWorker(worker, false);
+            world.assertEnds(1);
+        }
+    }
+
+    /** Start orders that are executed after the stop have no effect. */
+    void startsNothingLateAfterAStop()
+    {
+        CancelWorld world(3, 1);
+        world.cancelBeforeALateStart();
+        world.assertEnds(1, Milliseconds{8'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.startsOf({1, 0, 0, 0}));
+    }
+
+    void endsRunsAcrossChangesOfTheOwner()
+    {
+        for (const int delay : {0, 5, 10, 20, 40, 80, 200}) {
+            CancelWorld world(4, 2);
+            world.startEndless(1);
+            world.call(world.follower(), CallVerb::Cancel, 1);
+            world.run(Milliseconds{delay});
+            world.kill(world.owner().value());
+            for (int n = 0; n < 2'500 && !world.owner(); ++n) {
+                world.run(Milliseconds{1});
+            }
+            world.kill(world.owner().value()); // before it has read the list of workers
+            world.assertEnds(1);
+        }
+    }
+
+    void endsRunsWhenTheOwnerIsFrozen()
+    {
+        for (const int time : {900, 1'500, 2'500, 5'000}) {
+            CancelWorld world(3, 2);
+            world.startEndless(1);
+            const auto other = world.follower();
+            world.freeze(world.owner().value(), Milliseconds{time});
+            world.cancel(1, other);
+            world.assertEnds(1);
+            world.assertEnds(1, Milliseconds{6'000});
+        }
+    }
+
+    /** The response is lost, or the daemon is killed before it. A retry elsewhere is acknowledged. */
+    void endsRunsWhenTheCancellationIsStoredWithoutResponse()
+    {
+        for (const bool isKilled : {false, true}) {
+            CancelWorld world(3, 2);
+            world.startEndless(1);
+            const auto other = world.follower();
+            world.storeModes[other] = StoreMode::LosesResponses;
+            const auto handle = world.call(other, CallVerb::Cancel, 1);
+            world.run(Milliseconds{100});
+            if (isKilled) {
+                world.kill(other);
+            }
+            world.assertEnds(1);
+            CPPUNIT_ASSERT(!world.responseTo(handle) || world.responseTo(handle)->result != CallResult::NotRun);
+            world.cancel(1, world.owner().value());
+        }
+    }
+
+    /** The runs are still placed in the journal, whose history may be gone. */
+    void endsRunsAfterARestartOfAllDaemons()
+    {
+        for (const bool hasHistory : {false, true}) {
+            CancelWorld world(2, 2);
+            world.stopFaults[world.startEndless(1)] = {StopFault::Lost};
+            world.cancel(1, world.follower(), Milliseconds{10});
+            for (const std::size_t daemon : {0U, 1U}) {
+                world.kill(daemon);
+                world.restart(daemon);
+            }
+            if (!hasHistory) {
+                world.topic.compact();
+            }
+            world.assertEnds(1);
+        }
+    }
+
+    void endsGangsOfAllOccurrences()
+    {
+        constexpr std::uint32_t gangs = 3;
+        auto step = endlessStep(3);
+        step.gang = true;
+        for (const int delay : {0, 100, 300, 305, 310, 320, 350, 600}) {
+            CancelWorld world(3, 9);
+            auto spec = jobOf({step});
+            spec.repetition = {gangs, wallTimeOf(world) + Milliseconds{200}, Milliseconds{300}};
+            world.submit(0, 1, spec);
+            world.run(Milliseconds{200 + delay});
+            world.cancel(1);
+            world.assertEnds(1, cancelLimit, {gangs, 3});
+        }
+    }
+
+    /** Stops go before starts, though the link is full of starts. */
+    void endsALargeJobOverANarrowLink()
+    {
+        constexpr std::uint32_t tasks = 200;
+        for (const int delay : {100, 500, 1'000, 2'000}) {
+            CancelWorld world(2, 50);
+            world.linkBytesPerMs = 200;
+            world.submit(0, 1, jobOf({endlessStep(tasks)}));
+            world.submit(0, 2, jobOf({endlessStep(tasks)}));
+            world.run(Milliseconds{delay});
+            world.cancel(1, 1, Milliseconds{200});
+            world.assertEnds(1, cancelLimit, {1, tasks});
+        }
+    }
+
+    /** A worker that restarts under its id knows of no stop, and executes start orders that were sent before. */
+    void stopsALateRunOfARestartedWorker()
+    {
+        CancelWorld world(3, 1);
+        world.cancelBeforeALateStart();
+        world.restartAndStartLate(Milliseconds{1'300});
+        world.assertEnds(1);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatchCancelOrdersTest);
--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -16,6 +16,7 @@
 
 constexpr Milliseconds messageDelay{2}; ///< One-way delay of every message.
 constexpr Milliseconds lateStartDelay{3'000}; ///< Delay of start orders on links in LinkMode::Late.
+constexpr Milliseconds lateStopDelay{3'000}; ///< Delay of stop orders with StopFault::Late.
 constexpr std::size_t orderBytes = 900; ///< Size of an order on the link, with the connection that it may open.
 constexpr std::size_t pollBytes = 400; ///< Size of a poll on the link.
 constexpr Milliseconds defaultAdviceTime{20}; ///< Response time of the policy service for jobs without a set time.
@@ -141,7 +142,7 @@
     {
         const auto n = m_world.indexOf(order.id);
         const auto sentAt = now();
-        if (m_world.linkModes[n] == LinkMode::Cut) {
+        if (m_world.linkModes[n] == LinkMode::Cut || !isAt(n, order.address)) {
             deliverLater(order.wait + Milliseconds{800}, [order, sentAt](Inbox &inbox) {
                 PollResponse lost;
                 lost.worker = order.worker;
@@ -175,7 +176,7 @@
     void start(const StartOrder &order)
     {
         const auto n = m_world.indexOf(order.id);
-        const auto linkMode = m_world.linkModes[n];
+        const auto linkMode = isAt(n, order.address) ? m_world.linkModes[n] : LinkMode::Cut;
         const auto executeStart = [world = &m_world, order, n] {
             world->advanceWorkers();
             return world->worker(n).start(order, world->m_queue.now());
@@ -204,12 +205,38 @@
     void stop(const StopOrder &order)
     {
         const auto n = m_world.indexOf(order.id);
-        if (m_world.linkModes[n] == LinkMode::Cut) {
-            respondToOrder(OrderKind::Stop, order.run, order.token, OrderResult::NoResponse, Milliseconds{700});
+        const auto respond = [&](OrderResult result, Milliseconds delay) {
+            respondToOrder(OrderKind::Stop, order.run, order.token, result, delay);
+        };
+        if (order.address.empty()) {
+            respond(OrderResult::NeverSent, Milliseconds{0});
+            return;
+        }
+        if (m_world.linkModes[n] == LinkMode::Cut || !isAt(n, order.address)) {
+            respond(OrderResult::NoResponse, Milliseconds{700});
+            return;
+        }
+        const auto executeStop = [world = &m_world, order, n] {
+            return world->worker(n).stop(order, world->m_queue.now());
+        };
+        if (auto &faults = m_world.stopFaults[n]; !faults.empty()) {
+            const auto fault = faults.front();
+            faults.pop_front();
+            if (fault != StopFault::Lost) {
+                m_world.m_queue.after(fault == StopFault::Late ? lateStopDelay : messageDelay,
+                                      [executeStop] { executeStop(); });
+            }
+            respond(OrderResult::NoResponse, order.timeout);
             return;
         }
-        const auto result = m_world.worker(n).stop(order, m_world.m_queue.now());
-        respondToOrder(OrderKind::Stop, order.run, order.token, result, 2 * messageDelay);
+        if (const auto delay = linkDelay(orderBytes); delay > Milliseconds{0}) {
+            m_world.m_queue.after(delay, [executeStop] { executeStop(); });
+            const bool isLate = delay > order.timeout;
+            respond(isLate ? OrderResult::NoResponse : OrderResult::Accepted,
+                    isLate ? order.timeout : delay + 2 * messageDelay);
+            return;
+        }
+        respond(executeStop(), 2 * messageDelay);
     }
 
     void send(const AdviceRequest &request)
@@ -262,6 +289,12 @@
         return Milliseconds{static_cast<std::int64_t>(freeAt - nowMs)};
     }
 
+    /** Returns true if a worker is at an address. */
+    bool isAt(std::size_t worker, const std::string &address) const
+    {
+        return m_world.m_workers[worker].listing.address == address;
+    }
+
     /** Returns the fault mode of the store for the calls of this daemon. */
     StoreMode mode() const
     {
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -74,7 +74,7 @@
         const standin::WorkerHooks hooks{[this](const TaskName &task, RunNumber run) -> standin::RunScript {
                                              const auto it = scripts.find(task);
                                              if (it == scripts.end() || it->second.empty()) {
-                                                 return {};
+                                                 return defaultScript;
                                              }
                                              return it->second[std::min<std::size_t>(run, it->second.size()) - 1];
                                          },
@@ -346,6 +346,7 @@
 
 void DispatchWorld::listWorker(std::size_t n, bool draining)
 {
+    m_workers[n].listing.removed = false;
     m_workers[n].listing.draining = draining;
     publishListing(n);
 }
@@ -356,6 +357,17 @@
     publishListing(n);
 }
 
+void DispatchWorld::moveWorker(std::size_t n, std::string address)
+{
+    m_workers[n].listing.address = std::move(address);
+    publishListing(n);
+}
+
+void DispatchWorld::restartWorker(std::size_t n)
+{
+    m_workers[n].model->restart(m_queue.now());
+}
+
 void DispatchWorld::publishListing(std::size_t n)
 {
     for (std::size_t daemon = 0; daemon < m_daemons.size(); ++daemon) {
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -9,6 +9,7 @@
 #include "store_model.h"
 #include "worker_model.h"
 
+#include <deque>
 #include <limits>
 #include <map>
 #include <memory>
@@ -35,6 +36,14 @@
     End,
 };
 
+/** Fault of a stop order. */
+enum class StopFault : std::uint8_t {
+    Lost, ///< The order is not executed, and gets no response.
+    Unanswered, ///< The order is executed, but its response is lost.
+    Late, ///< The order is executed late, and gets no response.
+    End,
+};
+
 /** A simulated cell. */
 class DispatchWorld
 {
@@ -108,6 +117,12 @@
     /** Removes the entry of a worker from the list of workers. */
     void unlistWorker(std::size_t n);
 
+    /** Gives a worker another address, and publishes its entry. Orders to the old address get no response. */
+    void moveWorker(std::size_t n, std::string address);
+
+    /** Crashes a worker, and boots it again under the same id. */
+    void restartWorker(std::size_t n);
+
     /** Publishes a configuration with the next version. */
     void publish(dispatch::Configuration next);
 
@@ -116,8 +131,10 @@
      * Scripts of the runs of a task, by task, in the order of run numbers; the last script applies to all later runs.
      */
     std::map<dispatch::TaskName, std::vector<standin::RunScript>> scripts;
+    standin::RunScript defaultScript; ///< Script of the runs of tasks without scripts.
     std::map<std::size_t, StoreMode> storeModes; ///< By daemon.
     std::map<std::size_t, LinkMode> linkModes; ///< By worker.
+    std::map<std::size_t, std::deque<StopFault>> stopFaults; ///< By worker: faults of the next stop orders to it.
     std::map<std::size_t, Milliseconds> tickTimes; ///< How long a tick of a daemon takes, by daemon; else no time.
     std::set<std::size_t> daemonsWithoutConfig; ///< Indexes of the daemons whose reads of the configuration fail.
     dispatch::Configuration configuration;
