Stop a run again on a worker that restarted after it accepted the stop

What callers saw: a task of a cancelled job could run on until its worker left. Cause: the worker accepted the stop of a run that had not started there, restarted under its id, and executed the late start order before its first report. The stop counted as accepted, so it was not sent again; the report listed the run, so it was kept, and each poll renewed its lease. The new incarnation knows of no stop. Change: when a worker reports another incarnation, no stop counts as accepted. Evidence: the new test DispatchCancelOrdersTest::stopsALateRunWhoseStopHadBeenAccepted failed before (the run was there 3.4 s after its start).

--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -55,8 +55,8 @@
 }
 
 /**
- * Resets the link to a worker that responds under another incarnation. If it responded before, it has restarted, and
- * its confirmed runs have ended.
+ * Resets the link to a worker that responds under another incarnation. If it responded before, it has restarted: its
+ * confirmed runs have ended, and it knows of no stop, but may still execute start orders that were sent before.
  */
 void beginIncarnation(Entry &entry, WorkerRef worker, std::uint64_t incarnation, const TickTime &time)
 {
@@ -74,7 +74,12 @@
     logEvent(entry, EventKind::WorkerRestarted, 0, "worker={}", entry.workers.table.get<WorkerIdentity>(worker).id);
     const auto runs = entry.workers.table.get<WorkerLoad>(worker).runs;
     for (const auto run : runs) {
-        if (entry.work.runs.contains(run) && entry.work.runs.get<RunState>(run).phase == RunPhase::Running) {
+        if (!entry.work.runs.contains(run)) {
+            continue;
+        }
+        auto &state = entry.work.runs.get<RunState>(run);
+        state.stopAccepted = false;
+        if (state.phase == RunPhase::Running) {
             endRun(entry, run, RunEnd::LeaseExpired, {}, time);
         }
     }
--- a/tests/dispatch_cancel_orders_test.cpp
+++ b/tests/dispatch_cancel_orders_test.cpp
@@ -108,6 +108,7 @@
     CPPUNIT_TEST(endsGangsOfAllOccurrences);
     CPPUNIT_TEST(endsALargeJobOverANarrowLink);
     CPPUNIT_TEST(stopsALateRunOfARestartedWorker);
+    CPPUNIT_TEST(stopsALateRunWhoseStopHadBeenAccepted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -257,6 +258,15 @@
         world.restartAndStartLate(Milliseconds{1'300});
         world.assertEnds(1);
     }
+
+    /** The worker restarted between accepting the stop and executing the start order; the run went on. */
+    void stopsALateRunWhoseStopHadBeenAccepted()
+    {
+        CancelWorld world(3, 1);
+        world.cancelBeforeALateStart(Milliseconds{2'950});
+        world.restartAndStartLate(Milliseconds{0});
+        world.assertEnds(1);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchCancelOrdersTest);
