Close the occurrences that were opened since their job failed

What callers saw: tasks of a failed job ran on, those that last for good, and a cancellation changed nothing. Cause: the owner closes a job's occurrences when it fails, but counts the job as ended only when it reads its own record back. An occurrence that came due in between was opened and never closed. A cancellation of an ended job has no effect. Change: the owner closes all occurrences of a job when it reads the record that ended it. Evidence: DispatchCancelOrdersTest::endsAnOccurrenceThatWasOpenedAfterItsJobHadFailed (an occurrence due in the 0.4 s in which the store stores the failure) failed before.

--- a/src/dispatch/systems/read_journal.cpp
+++ b/src/dispatch/systems/read_journal.cpp
@@ -63,6 +63,9 @@
             applyProgress(state, record, m_offset);
             if (hasEnded(state) && state.endedAt == MonotonicTime{}) {
                 state.endedAt = m_time.now;
+                if (m_entry.isOwner()) {
+                    closeJob(m_entry, it->second, m_time); // occurrences may have been opened since the job failed
+                }
             }
         }
     }
--- a/tests/dispatch_cancel_orders_test.cpp
+++ b/tests/dispatch_cancel_orders_test.cpp
@@ -109,6 +109,7 @@
     CPPUNIT_TEST(endsALargeJobOverANarrowLink);
     CPPUNIT_TEST(stopsALateRunOfARestartedWorker);
     CPPUNIT_TEST(stopsALateRunWhoseStopHadBeenAccepted);
+    CPPUNIT_TEST(endsAnOccurrenceThatWasOpenedAfterItsJobHadFailed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -267,6 +268,23 @@
         world.restartAndStartLate(Milliseconds{0});
         world.assertEnds(1);
     }
+
+    /** The owner opened an occurrence before it had read back that the job failed; a cancellation did not end it. */
+    void endsAnOccurrenceThatWasOpenedAfterItsJobHadFailed()
+    {
+        CancelWorld world(3, 4);
+        auto spec = jobOf({plainStep(1), endlessStep(1)});
+        spec.repetition = {2, wallTimeOf(world) + Milliseconds{500}, Milliseconds{1'100}};
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{430}, RunEnd::Failed}};
+        world.submit(0, 1, spec);
+        world.run(Milliseconds{1'300});
+        world.storeDelay = Milliseconds{400};
+        world.run(Milliseconds{1'500});
+        world.cancel(1, 1, Milliseconds{1'000});
+        world.run(cancelLimit);
+        CPPUNIT_ASSERT(!world.runningOn({1, 1, 1, 0}));
+        assertNoViolations(world);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchCancelOrdersTest);
