Remember a job that has ended until its runs have

What operators saw: nothing yet; with a short retention (jobRetentionMs may be 1,000) the owner's process crashed. Cause: a job was removed by its age alone. The owner's tables of work refer to it while a run has not ended, and naming the run read a row that was erased. Change: a job whose occurrences are in the owner's tables is kept until the next search after they have left them. Evidence: DispatchCancelOrdersTest::remembersACancelledJobUntilItsRunsHaveEnded (stops lost for 7 s, retention 1 s) crashed before (signal 11).

--- a/src/dispatch/systems/retention.cpp
+++ b/src/dispatch/systems/retention.cpp
@@ -16,6 +16,9 @@
         if (endedAt == MonotonicTime{} || time.now - endedAt < entry.settings.jobRetention) {
             return;
         }
+        if (entry.work.byJob.contains(job)) {
+            return; // its runs have not all ended, and refer to the job
+        }
         const auto id = entry.jobs.table.get<JobIdentity>(job).id;
         if (entry.isOwner()) {
             const auto occurrences = entry.jobs.table.get<JobState>(job).occurrences.size();
--- a/tests/dispatch_cancel_orders_test.cpp
+++ b/tests/dispatch_cancel_orders_test.cpp
@@ -110,6 +110,7 @@
     CPPUNIT_TEST(stopsALateRunOfARestartedWorker);
     CPPUNIT_TEST(stopsALateRunWhoseStopHadBeenAccepted);
     CPPUNIT_TEST(endsAnOccurrenceThatWasOpenedAfterItsJobHadFailed);
+    CPPUNIT_TEST(remembersACancelledJobUntilItsRunsHaveEnded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -285,6 +286,22 @@
         CPPUNIT_ASSERT(!world.runningOn({1, 1, 1, 0}));
         assertNoViolations(world);
     }
+
+    /** A job was forgotten by its age alone; the process crashed when it had to name the job's last run. */
+    void remembersACancelledJobUntilItsRunsHaveEnded()
+    {
+        CancelWorld world(1, 1);
+        world.entry(0).settings.jobRetention = Milliseconds{1'000};
+        world.startEndless(1);
+        world.stopFaults[0] = std::deque(100, StopFault::Lost);
+        world.cancel(1, 0);
+        world.run(Milliseconds{7'000});
+        CPPUNIT_ASSERT(world.entry(0).jobs.byId.contains(1));
+        world.stopFaults.clear();
+        world.assertEnds(1);
+        world.run(Milliseconds{6'000});
+        CPPUNIT_ASSERT(!world.entry(0).jobs.byId.contains(1));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchCancelOrdersTest);
