Store a cancellation later instead of dropping it when the store refuses it

What callers saw: "not run" for a cancellation at a daemon that the store refused; without a retry the job ran on, although its cancellation was due. Cause: the daemon withdrew the queued record when it gave up on the call. Change: the record of a cancellation stays queued, as storing it late or twice does no harm. Evidence: DispatchCancelOrdersTest::storesACancellationThatTheStoreRefusedAtFirst failed before: the answer was "not run".

--- a/src/dispatch/systems/admission.cpp
+++ b/src/dispatch/systems/admission.cpp
@@ -273,6 +273,7 @@
 /**
  * Gives up on a call that has waited for as long as it may. A call that was certainly not executed is answered as not
  * run. Otherwise its record may be stored, so that it waits further, and is answered as undecided at a second limit.
+ * The record of a cancellation is never withdrawn: its caller may not retry, and the job must end all the same.
  * @return False when the call waits further.
  */
 bool giveUp(Entry &entry, CallHandler &handler, const Call &call, const TickTime &time)
@@ -281,7 +282,8 @@
         handler.respond(call, CallResult::NotRun, "view of configuration or journal is stale");
         return true;
     }
-    if (withdrawRecord(entry, call.call.handle)) {
+    const bool isWithdrawable = call.call.verb != CallVerb::Cancel;
+    if (isWithdrawable && withdrawRecord(entry, call.call.handle)) {
         handler.respond(call, CallResult::NotRun, "store did not accept the record in time");
         return true;
     }
--- a/tests/dispatch_cancel_orders_test.cpp
+++ b/tests/dispatch_cancel_orders_test.cpp
@@ -111,6 +111,7 @@
     CPPUNIT_TEST(stopsALateRunWhoseStopHadBeenAccepted);
     CPPUNIT_TEST(endsAnOccurrenceThatWasOpenedAfterItsJobHadFailed);
     CPPUNIT_TEST(remembersACancelledJobUntilItsRunsHaveEnded);
+    CPPUNIT_TEST(storesACancellationThatTheStoreRefusedAtFirst);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -302,6 +303,20 @@
         world.run(Milliseconds{6'000});
         CPPUNIT_ASSERT(!world.entry(0).jobs.byId.contains(1));
     }
+
+    /** The daemon dropped the cancellation and answered "not run", though its caller may have no retry left. */
+    void storesACancellationThatTheStoreRefusedAtFirst()
+    {
+        CancelWorld world(3, 2);
+        world.startEndless(1);
+        const auto other = world.follower();
+        world.storeModes[other] = StoreMode::Down;
+        const auto handle = world.call(other, CallVerb::Cancel, 1);
+        world.run(Milliseconds{3'000});
+        CPPUNIT_ASSERT(world.responseTo(handle)->result == CallResult::Undecided);
+        world.storeModes[other] = StoreMode::Up;
+        world.assertEnds(1);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchCancelOrdersTest);
