Poll a worker with a stray run as long as it reports it

What callers saw: a task that a worker started late, after its job was cancelled, ran on for longer than 3.4 s. Cause: only the worker's report names such a run, and its stop is sent once a report. A worker without other runs counts as idle and was polled every 1.5 s, so a stop that was lost twice came 4.5 s after the start. Change: while its last report listed a run that is not in the owner's tables, the worker is polled every 0.3 s. Evidence: DispatchCancelOrdersTest::stopsAStrayRunWhoseStopOrdersGetLost failed before.

--- a/src/dispatch/systems/order.cpp
+++ b/src/dispatch/systems/order.cpp
@@ -19,6 +19,9 @@
  * worker responds to every poll immediately, so polls without a pause would follow each other without end.
  */
 constexpr Milliseconds pendingEndsPollPause{300};
+/** Pause before the next poll of a worker whose only runs are stray; the poll shows whether their stop orders arrived.
+ */
+constexpr Milliseconds strayRunPollPause{300};
 constexpr Milliseconds ticketPause{20}; ///< Pause before the next check whether a placed run's ticket has been renewed.
 /** Runs that save checkpoints and endless runs are stopped this long before their worker may be removed. */
 constexpr Milliseconds removalMargin{1'000};
@@ -249,6 +252,9 @@
         return link.lastResponseAt + pendingEndsPollPause;
     }
     const auto &load = entry.workers.table.get<WorkerLoad>(worker);
+    if (load.runs.empty() && link.hasStrayRuns) {
+        return link.lastResponseAt + strayRunPollPause;
+    }
     const bool isIdle = load.runs.empty() && link.lastEndApplied == link.lastEndAcknowledged;
     return isIdle ? std::max(link.pollAt, link.lastResponseAt + idlePollPause) : link.pollAt;
 }
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -100,6 +100,7 @@
 void stopStray(Entry &entry, WorkerRef worker, const RunningRow &row)
 {
     const auto &identity = entry.workers.table.get<WorkerIdentity>(worker);
+    entry.workers.table.get<WorkerLink>(worker).hasStrayRuns = true;
     logEvent(entry, EventKind::StrayRun, row.task.job, "worker={} run={}", identity.id, row.run);
     entry.outbox.stops.push_back({{},
                                   worker,
@@ -307,6 +308,7 @@
     link.clockReadAt = response.receivedAt;
     updateLeaseExpiry(link);
     link.pollAt = time.now;
+    link.hasStrayRuns = false;
     absl::flat_hash_set<std::uint32_t> seen;
     applyRunning(entry, response, seen, time);
     applyEnds(entry, response, time);
--- a/tests/dispatch_cancel_orders_test.cpp
+++ b/tests/dispatch_cancel_orders_test.cpp
@@ -109,6 +109,7 @@
     CPPUNIT_TEST(endsALargeJobOverANarrowLink);
     CPPUNIT_TEST(stopsALateRunOfARestartedWorker);
     CPPUNIT_TEST(stopsALateRunWhoseStopHadBeenAccepted);
+    CPPUNIT_TEST(stopsAStrayRunWhoseStopOrdersGetLost);
     CPPUNIT_TEST(endsAnOccurrenceThatWasOpenedAfterItsJobHadFailed);
     CPPUNIT_TEST(remembersACancelledJobUntilItsRunsHaveEnded);
     CPPUNIT_TEST(storesACancellationThatTheStoreRefusedAtFirst);
@@ -271,6 +272,21 @@
         world.assertEnds(1);
     }
 
+    /** A worker with nothing but a run that only it knows was polled, and the run stopped, once in 1.5 s. */
+    void stopsAStrayRunWhoseStopOrdersGetLost()
+    {
+        for (const bool hasOtherRun : {false, true}) {
+            CancelWorld world(3, 1);
+            if (hasOtherRun) {
+                world.startEndless(2);
+            }
+            world.cancelBeforeALateStart();
+            world.restartAndStartLate(Milliseconds{1'300});
+            world.stopFaults[0] = {StopFault::Lost, StopFault::Lost};
+            world.assertEnds(1);
+        }
+    }
+
     /** The owner opened an occurrence before it had read back that the job failed; a cancellation did not end it. */
     void endsAnOccurrenceThatWasOpenedAfterItsJobHadFailed()
     {
