Remember a cancellation that is stored before its job's acceptance

What callers saw: a submission without an answer, a cancellation answered "no such job", and then the job ran, for good if its tasks last. Cause: a daemon whose append of an acceptance gets no response sends it again until it is stored. Change: the cancellation of an unknown job is stored before it is answered, as before with "no such job". Daemons remember it (8 bytes an id); a job that is accepted later is cancelled from the start. Evidence: DispatchCancelOrdersTest::startsNothingOfAJobThatWasCancelledBeforeItsAcceptance failed before.

Cost: one record for each cancellation of an unknown job, which stays in the store.

--- a/src/dispatch/job_base.h
+++ b/src/dispatch/job_base.h
@@ -4,6 +4,7 @@
 #include "dispatch/journal_type.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 namespace flamingotally::dispatch
 {
@@ -42,10 +43,11 @@
 
 using JobTable = Table<JobTag, JobIdentity, JobPlan, JobState>;
 
-/** The table of jobs with its index by id. */
+/** The table of jobs with its index by id, and the jobs that may still be accepted although they were cancelled. */
 struct Jobs {
     JobTable table;
     absl::flat_hash_map<JobId, JobRef> byId;
+    absl::flat_hash_set<JobId> cancelledEarly; ///< Jobs that were cancelled before their acceptance was stored.
 };
 
 /** Returns the state of a job as callers see it. */
--- a/src/dispatch/systems/admission.cpp
+++ b/src/dispatch/systems/admission.cpp
@@ -163,15 +163,19 @@
         if (call.call.verb == CallVerb::Submit) {
             return isKnown ? respond(call, CallResult::Done, "known") : submit(call, queue, team);
         }
-        if (!isKnown) {
-            const bool isFresh = m_entry.journal.asOf >= call.call.receivedAt;
-            return isFresh ? respond(call, CallResult::UnknownJob, "no such job") : CallDecision::Waits;
+        if (!isKnown && m_entry.journal.asOf < call.call.receivedAt) {
+            return CallDecision::Waits;
         }
-        const auto &state = m_entry.jobs.table.get<JobState>(it->second);
-        if (call.call.verb == CallVerb::Cancel && !hasEnded(state)) {
+        if (call.call.verb == CallVerb::Cancel
+            && (!isKnown || !hasEnded(m_entry.jobs.table.get<JobState>(it->second)))) {
+            // also for an unknown job, whose acceptance may be stored later than its cancellation
             queueRecord(m_entry, JournalWriter::Entry, CancelledRecord{call.job}, call.call.handle);
             return CallDecision::Writes;
         }
+        if (!isKnown) {
+            return respond(call, CallResult::UnknownJob, "no such job");
+        }
+        const auto &state = m_entry.jobs.table.get<JobState>(it->second);
         if (call.call.verb == CallVerb::Query && !hasEnded(state) && !isCurrentFor(call.call)) {
             m_entry.journal.readRequested = true;
             m_entry.wakeBy(m_time.now);
--- a/src/dispatch/systems/read_journal.cpp
+++ b/src/dispatch/systems/read_journal.cpp
@@ -33,6 +33,11 @@
     void operator()(const AcceptedRecord &record)
     {
         const auto job = insertJob(m_entry.jobs, record);
+        if (job.isSet() && m_entry.jobs.cancelledEarly.erase(record.job) > 0) {
+            auto &state = m_entry.jobs.table.get<JobState>(job);
+            state.cancelled = true;
+            state.endedAt = m_time.now;
+        }
         if (job.isSet() && m_entry.isOwner()) {
             openJob(m_entry, job, m_time);
         }
@@ -42,6 +47,7 @@
     {
         const auto it = m_entry.jobs.byId.find(record.job);
         if (it == m_entry.jobs.byId.end()) {
+            m_entry.jobs.cancelledEarly.insert(record.job);
             return;
         }
         auto &state = m_entry.jobs.table.get<JobState>(it->second);
--- a/src/dispatch/systems/write_journal.cpp
+++ b/src/dispatch/systems/write_journal.cpp
@@ -42,8 +42,10 @@
                  call.queue,
                  entry.config.current.version,
                  (time.now - call.call.receivedAt).count());
+        const bool isUnknown = call.call.verb == CallVerb::Cancel && !entry.jobs.byId.contains(call.job);
+        const auto result = isUnknown ? CallResult::UnknownJob : CallResult::Done;
         entry.outbox.responses.push_back(
-            {handle, call.call.verb, CallResult::Done, call.job, JobPhase::Queued, 0, Milliseconds{0}, ""});
+            {handle, call.call.verb, result, call.job, JobPhase::Queued, 0, Milliseconds{0}, ""});
         entry.calls.erase(ref);
     });
 }
--- a/tests/dispatch_cancel_orders_test.cpp
+++ b/tests/dispatch_cancel_orders_test.cpp
@@ -113,6 +113,7 @@
     CPPUNIT_TEST(endsAnOccurrenceThatWasOpenedAfterItsJobHadFailed);
     CPPUNIT_TEST(remembersACancelledJobUntilItsRunsHaveEnded);
     CPPUNIT_TEST(storesACancellationThatTheStoreRefusedAtFirst);
+    CPPUNIT_TEST(startsNothingOfAJobThatWasCancelledBeforeItsAcceptance);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -333,6 +334,28 @@
         world.storeModes[other] = StoreMode::Up;
         world.assertEnds(1);
     }
+
+    /** The cancellation was answered "unknown job", and the acceptance, whose first sends failed, was stored after it.
+     */
+    void startsNothingOfAJobThatWasCancelledBeforeItsAcceptance()
+    {
+        CancelWorld world(3, 2);
+        const auto other = world.follower();
+        world.storeModes[other] = StoreMode::Silent;
+        world.submit(other, 1, jobOf({endlessStep(1)}));
+        world.run(Milliseconds{3'000});
+        const auto handle = world.call(world.owner().value(), CallVerb::Cancel, 1);
+        world.run(Milliseconds{1'000});
+        CPPUNIT_ASSERT(world.responseTo(handle)->result == CallResult::UnknownJob);
+        world.storeModes[other] = StoreMode::Up;
+        world.assertEnds(1, Milliseconds{5'000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.startsOf({1, 0, 0, 0}));
+        CPPUNIT_ASSERT(world.phaseAt(other, 1) == JobPhase::Cancelled);
+        world.restart(other);
+        world.topic.compact();
+        world.run(Milliseconds{1'000});
+        CPPUNIT_ASSERT(world.phaseAt(other, 1) == JobPhase::Cancelled);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchCancelOrdersTest);
