Test that slow hosts do not leave the cell without an owner (FAILS on this code)

What callers saw: tasks of cancelled jobs ran until their leases lapsed, and lasting tasks were not started again. Cause, not fixed here: each owner that is overloaded releases the cell and claims nothing for 10 s (overloadBackoff), also when no other daemon claims, because the others have ceded as well or are dead.

--- a/tests/dispatch_cancel_orders_test.cpp
+++ b/tests/dispatch_cancel_orders_test.cpp
@@ -114,6 +114,7 @@
     CPPUNIT_TEST(remembersACancelledJobUntilItsRunsHaveEnded);
     CPPUNIT_TEST(storesACancellationThatTheStoreRefusedAtFirst);
     CPPUNIT_TEST(startsNothingOfAJobThatWasCancelledBeforeItsAcceptance);
+    CPPUNIT_TEST(alwaysHasAnOwnerAmongSlowHosts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -356,6 +357,25 @@
         world.run(Milliseconds{1'000});
         CPPUNIT_ASSERT(world.phaseAt(other, 1) == JobPhase::Cancelled);
     }
+
+    /** Each host ceded the cell as overloaded and claimed nothing for 10 s; nobody stopped what was cancelled then. */
+    void alwaysHasAnOwnerAmongSlowHosts()
+    {
+        for (const bool isPeerDead : {false, true}) {
+            CancelWorld world(2, 2);
+            world.startEndless(1);
+            if (isPeerDead) {
+                world.kill(world.follower());
+            }
+            world.tickTimes = {{0, Milliseconds{300}}, {1, Milliseconds{300}}};
+            Milliseconds ownerlessFor{0};
+            for (int n = 0; n < 200; ++n) {
+                world.run(Milliseconds{100});
+                ownerlessFor = world.owner() ? Milliseconds{0} : ownerlessFor + Milliseconds{100};
+                CPPUNIT_ASSERT(ownerlessFor < cancelLimit);
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchCancelOrdersTest);
