--- a/src/dispatch/systems/admission.cpp
+++ b/src/dispatch/systems/admission.cpp
@@ -169,15 +169,19 @@
         if (call.call.verb == CallVerb::Submit) {
             return isKnown ? respond(call, CallResult::Done, "known") : submit(call, queue, team);
         }
-        if (!isKnown) {
-            const bool isFresh = m_entry.journal.asOf >= call.call.receivedAt;
-            return isFresh ? respond(call, CallResult::UnknownJob, "no such job") : CallDecision::Waits;
+        if (!isKnown && m_entry.journal.asOf < call.call.receivedAt) {
+            return CallDecision::Waits;
         }
-        const auto &state = m_entry.jobs.table.get<JobState>(it->second);
-        if (call.call.verb == CallVerb::Cancel && !hasEnded(state)) {
+        if (call.call.verb == CallVerb::Cancel
+            && (!isKnown || !hasEnded(m_entry.jobs.table.get<JobState>(it->second)))) {
+            // also for an unknown job, whose acceptance may be stored later than its cancellation
             queueRecord(m_entry, JournalWriter::Entry, CancelledRecord{call.job}, call.call.handle);
             return CallDecision::Writes;
         }
+        if (!isKnown) {
+            return respond(call, CallResult::UnknownJob, "no such job");
+        }
+        const auto &state = m_entry.jobs.table.get<JobState>(it->second);
         if (call.call.verb == CallVerb::Query && !hasEnded(state) && !isCurrentFor(call.call)) {
             m_entry.journal.readRequested = true;
             m_entry.wakeBy(m_time.now);
@@ -279,6 +283,7 @@
 /**
  * Gives up on a call that has waited for as long as it may. A call that was certainly not executed is answered as not
  * run. Otherwise its record may be stored, so that it waits further, and is answered as undecided at a second limit.
+ * The record of a cancellation is never withdrawn: its caller may not retry, and the job must end all the same.
  * @return False when the call waits further.
  */
 bool giveUp(Entry &entry, CallHandler &handler, const Call &call, const TickTime &time)
@@ -287,7 +292,8 @@
         handler.respond(call, CallResult::NotRun, "view of configuration or journal is stale");
         return true;
     }
-    if (withdrawRecord(entry, call.call.handle)) {
+    const bool isWithdrawable = call.call.verb != CallVerb::Cancel;
+    if (isWithdrawable && withdrawRecord(entry, call.call.handle)) {
         handler.respond(call, CallResult::NotRun, "store did not accept the record in time");
         return true;
     }
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -55,8 +55,8 @@
 }
 
 /**
- * Resets the link to a worker that responds under another incarnation. If it responded before, it has restarted, and
- * its confirmed runs have ended.
+ * Resets the link to a worker that responds under another incarnation. If it responded before, it has restarted: its
+ * confirmed runs have ended, and it knows of no stop, but may still execute start orders that were sent before.
  */
 void beginIncarnation(Entry &entry, WorkerRef worker, std::uint64_t incarnation, const TickTime &time)
 {
@@ -74,7 +74,12 @@
     logEvent(entry, EventKind::WorkerRestarted, 0, "worker={}", entry.workers.table.get<WorkerIdentity>(worker).id);
     const auto runs = entry.workers.table.get<WorkerLoad>(worker).runs;
     for (const auto run : runs) {
-        if (entry.work.runs.contains(run) && entry.work.runs.get<RunState>(run).phase == RunPhase::Running) {
+        if (!entry.work.runs.contains(run)) {
+            continue;
+        }
+        auto &state = entry.work.runs.get<RunState>(run);
+        state.stopAccepted = false;
+        if (state.phase == RunPhase::Running) {
             endRun(entry, run, RunEnd::LeaseExpired, {}, time);
         }
     }
@@ -95,6 +100,7 @@
 void stopStray(Entry &entry, WorkerRef worker, const RunningRow &row)
 {
     const auto &identity = entry.workers.table.get<WorkerIdentity>(worker);
+    entry.workers.table.get<WorkerLink>(worker).hasStrayRuns = true;
     logEvent(entry, EventKind::StrayRun, row.task.job, "worker={} run={}", identity.id, row.run);
     entry.outbox.stops.push_back({{},
                                   worker,
@@ -302,6 +308,7 @@
     link.clockReadAt = response.receivedAt;
     updateLeaseExpiry(link);
     link.pollAt = time.now;
+    link.hasStrayRuns = false;
     absl::flat_hash_set<std::uint32_t> seen;
     applyRunning(entry, response, seen, time);
     applyEnds(entry, response, time);
--- a/tests/dispatch_review_test.cpp
+++ b/tests/dispatch_review_test.cpp
@@ -126,8 +126,7 @@
             world.run(Milliseconds{5'500});
             world.submit(good, 1, jobOf({plainStep(2)}));
             world.run(Milliseconds{3'000});
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(
-                std::to_string(good), std::size_t{2}, world.startsOn(0) + world.startsOn(1));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(good), std::size_t{2}, world.startsOn(0) + world.startsOn(1));
             assertNoViolations(world);
         }
     }
