Let a daemon that backs off claim when nobody else has claimed

What callers saw: nothing yet; found by a test of cancellations on slow hosts. Tasks of cancelled jobs went on until their leases expired and lasting tasks were not started again, as the cell had no owner for up to 11.4 s. Cause: an overloaded owner releases the cell and claims nothing for 10 s, also when the others have done so as well or are dead: the table of daemons that decides whether there is a peer keeps the dead. Change: 1 s after a release that nobody has followed with a claim, daemons claim in spite of their pause.

--- a/src/dispatch/systems/ownership.cpp
+++ b/src/dispatch/systems/ownership.cpp
@@ -37,6 +37,8 @@
 constexpr Milliseconds readGraceTime{1'500};
 /** Time for other daemons to read the release; this daemon claims nothing during it. */
 constexpr Milliseconds yieldBackoff{1'500};
+/** When nobody has claimed for this long after a release, daemons that leave the claim to others claim as well. */
+constexpr Milliseconds unclaimedLimit{1'000};
 /**
  * Number of possible first sequence numbers of an owner's writer. The first one is derived from a hash, so that the
  * claims of two daemons under the same token have different sequence numbers.
@@ -87,13 +89,26 @@
     return it != entry.ownership.daemons.end() && it->second.incarnation > newest.incarnation;
 }
 
+/** Returns true if this daemon leaves the claim to others: it has released ownership, and they still have time to
+ * claim. */
+bool isBackingOff(Entry &entry, const TickTime &time)
+{
+    const auto &ownership = entry.ownership;
+    if (time.now >= ownership.backoffUntil) {
+        return false;
+    }
+    const auto unclaimedAt = ownership.ownerWroteAt + unclaimedLimit;
+    entry.wakeBy(std::max(time.now, unclaimedAt));
+    return !hasOwnerStopped(entry) || time.now < unclaimedAt;
+}
+
 /** Returns true if the journal shows no owner and it is this daemon's turn to claim. */
 bool isClaimDue(Entry &entry, const TickTime &time)
 {
     const auto &ownership = entry.ownership;
     const auto &journal = entry.journal;
     if (entry.phase != EntryPhase::Serving || journal.readingSince == MonotonicTime{}
-        || time.now - journal.asOf > maxReadAge + entry.settings.journalReadWait || time.now < ownership.backoffUntil) {
+        || time.now - journal.asOf > maxReadAge + entry.settings.journalReadWait || isBackingOff(entry, time)) {
         return false;
     }
     const bool isSlow = time.now < journal.slowUntil;
