--- a/tests/store_read_test.cpp
+++ b/tests/store_read_test.cpp
@@ -99,6 +99,7 @@
     CPPUNIT_TEST_SUITE(StoreReadTest);
     CPPUNIT_TEST(readsALongConfigurationOverANarrowLink);
     CPPUNIT_TEST(givesUpOnAReadWithoutProgress);
+    CPPUNIT_TEST(probesTheStoreByAShortRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -116,6 +117,39 @@
     {
         CPPUNIT_ASSERT(readFrom(3).result == platform::StoreResult::Unknown);
     }
+
+    /** Hosts that the store did not serve read the whole configuration each second, only to find out whether it does.
+     */
+    void probesTheStoreByAShortRead()
+    {
+        asio::io_context io;
+        HttpClient client(io);
+        bool isRefusing = false;
+        bool wasProbed = false;
+        HttpServer server(io, {}, [&](const HttpRequest &request, const HttpResponder &respond) {
+            const auto has = [&](std::string_view name, std::string_view value) {
+                return std::ranges::any_of(request.query,
+                                           [&](const HttpField &it) { return it.name == name && it.value == value; });
+            };
+            wasProbed = wasProbed
+                || (has("topic", "keyed.flamingotally") && has("from", "1") && has("maxKb", "1") && has("waitMs", "0"));
+            respond({.status = isRefusing ? 503U : 200U, .body = bodyWithLongRecord()});
+        });
+        CPPUNIT_ASSERT(server.listen(anyLoopbackPort).ok());
+        platform::StoreClient store(client, server.address(), [&] { return std::vector{server.address()}; });
+        int answers = 0;
+        const auto count = [&](const platform::StoreRead &) {
+            ++answers;
+        };
+        store.read("keyed.flamingotally", 0, Milliseconds{0}, 32, count);
+        runUntil(io, [&] { return answers == 1; });
+        isRefusing = true;
+        for (int n = 2; n <= 4; ++n) {
+            store.read("keyed.op", 0, Milliseconds{0}, 32, count);
+            runUntil(io, [&] { return answers == n; });
+        }
+        CPPUNIT_ASSERT(wasProbed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreReadTest);
