Wait longer for reads of long records that the store sends late

Cause, the other of two: 147 daemons read a configuration of 900 KB at once, 1.6 s of all that the store reads out. A read of which nothing had arrived after 0.5 s was given up and sent again, which made the store's queue longer without end. Class: retries that add load to what is overloaded. Change: for topics with records of over 128 KB the time for a read to begin doubles up to 2 s after each read without a response, and halves after each one with. Topics with short records, as on most deployments, notice a lost store as before.

--- a/tests/store_read_test.cpp
+++ b/tests/store_read_test.cpp
@@ -100,6 +100,7 @@
     CPPUNIT_TEST(readsALongConfigurationOverANarrowLink);
     CPPUNIT_TEST(givesUpOnAReadWithoutProgress);
     CPPUNIT_TEST(probesTheStoreByAShortRead);
+    CPPUNIT_TEST(waitsLongerForLongRecordsOnly);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -150,6 +151,26 @@
         }
         CPPUNIT_ASSERT(wasProbed);
     }
+
+    void waitsLongerForLongRecordsOnly()
+    {
+        platform::StoreRead lost;
+        platform::StoreRead done;
+        done.result = platform::StoreResult::Done;
+        platform::ReadMargin margin;
+        const auto shortest = margin.value();
+        done.records = {{0, "config", std::string(10'000, 'x')}};
+        margin.adapt(done);
+        margin.adapt(lost);
+        CPPUNIT_ASSERT(margin.value() == shortest);
+        done.records = {{1, "config", std::string(300'000, 'x')}};
+        margin.adapt(done);
+        margin.adapt(lost);
+        CPPUNIT_ASSERT(margin.value() == 2 * shortest);
+        done.records.clear();
+        margin.adapt(done);
+        CPPUNIT_ASSERT(margin.value() == shortest);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreReadTest);
