Release ownership early, too, for an owner that read well after a release

What callers saw: UNASKED is possible; found by review. Cause: isStale() waited for mayYield(), 15 s after a claim that followed any release, so that ownership does not go round. Change: an owner whose views were still fresh 2 s after its claim (Ownership::freshViewsAt) need not wait. Ownership can change about every 4 s where each owner stops reading soon after it has begun well; an owner that never read well waits 15 s as before. Evidence: stopsRunsOfACancelledJobSoonAfterAnOwnerHasShutDown failed before (the run was there after 3.4 s) and passes. Result: DispatchReviewTest 5 of 5 pass (4 before), DispatchStaleOwnerTest 3 of 3.

--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -109,6 +109,7 @@
     MonotonicTime storedBatchSentAt{}; ///< While owner: when the newest of its stored batches was sent.
     /** While owner: when the first batch was sent of those stored since without a long gap; see isStale(). */
     MonotonicTime storingSince{};
+    MonotonicTime freshViewsAt{}; ///< While owner: when all views were last fresh; see hasFreshViews().
     Token resigned = 0; ///< Highest fencing token under which this daemon owned the cell and lost or released it.
     MonotonicTime backoffUntil{}; ///< This daemon claims nothing before this time.
     Milliseconds tickDelay{0}; ///< Smoothed delay of ticks behind the time at which they had to run.
--- a/src/dispatch/systems/ownership.cpp
+++ b/src/dispatch/systems/ownership.cpp
@@ -191,6 +191,16 @@
     return true;
 }
 
+/**
+ * Returns true if an owner with old views may release ownership. One whose views were fresh for a while after its claim
+ * has read well, so that what fails now need not fail for others; any other waits as for a larger host.
+ */
+bool mayReleaseStale(const Entry &entry, const TickTime &time)
+{
+    const auto &ownership = entry.ownership;
+    return ownership.freshViewsAt >= ownership.claimedAt + yieldDelay || mayYield(entry, time);
+}
+
 /**
  * Returns true if this owner's appends are stored while its reads of the journal fail or are late; it then delays its
  * own next claim. It would keep alive runs of jobs that were cancelled meanwhile, so a daemon that reads should own the
@@ -201,7 +211,11 @@
     auto &ownership = entry.ownership;
     const bool storesBatches = time.now - ownership.storedBatchSentAt < storedBatchAgeLimit
         && time.now - ownership.storingSince >= readGraceTime;
-    if (!storesBatches || hasFreshViews(entry, time) || ownership.daemons.size() < 2 || !mayYield(entry, time)) {
+    if (hasFreshViews(entry, time)) {
+        ownership.freshViewsAt = time.now;
+        return false;
+    }
+    if (!storesBatches || ownership.daemons.size() < 2 || !mayReleaseStale(entry, time)) {
         return false;
     }
     logEvent(entry,
--- a/src/dispatch/systems/read_journal.cpp
+++ b/src/dispatch/systems/read_journal.cpp
@@ -163,6 +163,7 @@
     ownership.claimedAt = time.now;
     ownership.storedBatchSentAt = time.now;
     ownership.storingSince = time.now;
+    ownership.freshViewsAt = {};
     ownership.previousOwnerStoppedAt = {};
     RecordApplier(entry, time, 0, true).updatePreviousOwner();
     buildWork(entry, time);
