Stop runs anew on a worker that restarts after it has accepted their stops

A late start that the next life of a worker executes, before a poll has shown that the stopped run is gone, ran on: the run counts as stopping with its stop accepted, so it was neither a stray run nor stopped again, and polls renewed its lease. Cause: RunState::stopAccepted outlived the life of the worker that had accepted. Change: beginIncarnation() resets it for the runs that it does not end. Evidence: stopsARunThatBeginsInTheNextLifeOfAWorkerThatAcceptedItsStop failed before (still running 3.4 s after the link was back) and passes.

--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -74,8 +74,14 @@
     logEvent(entry, EventKind::WorkerRestarted, 0, "worker={}", entry.workers.table.get<WorkerIdentity>(worker).id);
     const auto runs = entry.workers.table.get<WorkerLoad>(worker).runs;
     for (const auto run : runs) {
-        if (entry.work.runs.contains(run) && entry.work.runs.get<RunState>(run).phase == RunPhase::Running) {
+        if (!entry.work.runs.contains(run)) {
+            continue;
+        }
+        auto &state = entry.work.runs.get<RunState>(run);
+        if (state.phase == RunPhase::Running) {
             endRun(entry, run, RunEnd::LeaseExpired, {}, time);
+        } else {
+            state.stopAccepted = false; // the worker has forgotten it, and may still execute a late start
         }
     }
 }
--- a/tests/dispatch_review_test.cpp
+++ b/tests/dispatch_review_test.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(stopsRunsOfACancelledJobSoonAfterAnOwnerHasShutDown);
     CPPUNIT_TEST(placesWorkWhenOnlyTheLastDaemonReadsTheConfiguration);
     CPPUNIT_TEST(startsNoPlacedRunOnAWorkerThatDrainsSince);
+    CPPUNIT_TEST(stopsARunThatBeginsInTheNextLifeOfAWorkerThatAcceptedItsStop);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -126,13 +127,12 @@
             world.run(Milliseconds{5'500});
             world.submit(good, 1, jobOf({plainStep(2)}));
             world.run(Milliseconds{3'000});
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(
-                std::to_string(good), std::size_t{2}, world.startsOn(0) + world.startsOn(1));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(good), std::size_t{2}, world.startsOn(0) + world.startsOn(1));
             assertNoViolations(world);
         }
     }
 
-    /** A run that was placed before its worker began to drain was started however late its record was stored. */
+    /** An owner whose record is stored so late loses the cell, so the runs that it placed before are not started. */
     void startsNoPlacedRunOnAWorkerThatDrainsSince()
     {
         constexpr Milliseconds storeDelay{2'300};
@@ -155,6 +155,37 @@
         CPPUNIT_ASSERT(world.startsOn(0) >= 4);
         assertNoViolations(world);
     }
+
+    /** A worker restarted after it had accepted a stop, executed the late start, and got no further stop. */
+    void stopsARunThatBeginsInTheNextLifeOfAWorkerThatAcceptedItsStop()
+    {
+        constexpr Milliseconds lateStartTime{3'500}; // until all starts that were sent before the stop are executed
+        DispatchWorld world(2, 1);
+        world.run(settleTime);
+        const auto owner = world.owner().value();
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{600'000}, RunEnd::Done}};
+        world.linkModes[0] = LinkMode::DelaysStarts;
+        world.submit(owner, 1, endlessJob());
+        world.run(Milliseconds{1'000});
+        world.call(owner, CallVerb::Cancel, 1);
+        auto &runs = world.entry(owner).work.runs;
+        const auto hasAcceptedStop = [&] {
+            bool isAccepted = false;
+            runs.forEach([&](RunRef it) { isAccepted = isAccepted || runs.get<RunState>(it).stopAccepted; });
+            return isAccepted;
+        };
+        for (int n = 0; n < 1'000 && !hasAcceptedStop(); ++n) {
+            world.run(Milliseconds{1});
+        }
+        CPPUNIT_ASSERT(hasAcceptedStop());
+        world.worker(0).restart(world.now());
+        world.linkModes[0] = LinkMode::Cut;
+        world.run(lateStartTime);
+        CPPUNIT_ASSERT(world.runningOn({1, 0, 0, 0}).has_value());
+        world.linkModes[0] = LinkMode::Up;
+        world.run(cancelLimit);
+        CPPUNIT_ASSERT(!world.runningOn({1, 0, 0, 0}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchReviewTest);
