Test that a placed run that waits for a ticket is not started on a worker that drains

Change: a test; the run is discarded, as stopRunsBeforeRemoval() ends what the worker's announced time does not allow.

--- a/tests/dispatch_review_test.cpp
+++ b/tests/dispatch_review_test.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(placesWorkWhenOnlyTheLastDaemonReadsTheConfiguration);
     CPPUNIT_TEST(startsNoPlacedRunOnAWorkerThatDrainsSince);
     CPPUNIT_TEST(stopsARunThatBeginsInTheNextLifeOfAWorkerThatAcceptedItsStop);
+    CPPUNIT_TEST(startsNoRunThatWaitedForATicketWhileItsWorkerBeganToDrain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -186,6 +187,35 @@
         world.run(cancelLimit);
         CPPUNIT_ASSERT(!world.runningOn({1, 0, 0, 0}));
     }
+
+    /** A placed run that waits for the renewal of its ticket is discarded when its worker drains meanwhile. */
+    void startsNoRunThatWaitedForATicketWhileItsWorkerBeganToDrain()
+    {
+        constexpr Milliseconds adviceTime{2'500};
+        constexpr Milliseconds storeDelay{700}; // the ticket expires before the placed runs are stored
+        DispatchWorld world(daemonCount, 2);
+        auto configuration = world.configuration;
+        configuration.queues[0].policy.advice = {true, 2'400, 1, Milliseconds{3'000}};
+        world.publish(configuration);
+        world.adviceTimes[1] = adviceTime;
+        world.run(settleTime);
+        const auto owner = world.owner().value();
+        world.submit((owner + 1) % daemonCount, 1, jobOf({plainStep(8)}));
+        const auto limit = world.now() + Milliseconds{4'000};
+        while (world.entry(owner).work.runs.size() == 0 && world.now() < limit) {
+            world.run(Milliseconds{1});
+        }
+        CPPUNIT_ASSERT(world.entry(owner).work.runs.size() > 0);
+        world.storeDelay = storeDelay;
+        world.run(storeDelay);
+        world.storeDelay = Milliseconds{0};
+        world.listWorker(1, true);
+        world.run(drainLimit);
+        const auto startsBefore = world.startsOn(1);
+        world.run(Milliseconds{4'000});
+        CPPUNIT_ASSERT_EQUAL(startsBefore, world.startsOn(1));
+        assertNoViolations(world);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchReviewTest);
