--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -78,9 +78,10 @@
             continue;
         }
         auto &state = entry.work.runs.get<RunState>(run);
-        state.stopAccepted = false;
         if (state.phase == RunPhase::Running) {
             endRun(entry, run, RunEnd::LeaseExpired, {}, time);
+        } else {
+            state.stopAccepted = false; // the worker has forgotten it, and may still execute a late start
         }
     }
 }
--- a/tests/dispatch_review_test.cpp
+++ b/tests/dispatch_review_test.cpp
@@ -43,6 +43,8 @@
     CPPUNIT_TEST(stopsRunsOfACancelledJobSoonAfterAnOwnerHasShutDown);
     CPPUNIT_TEST(placesWorkWhenOnlyTheLastDaemonReadsTheConfiguration);
     CPPUNIT_TEST(startsNoPlacedRunOnAWorkerThatDrainsSince);
+    CPPUNIT_TEST(stopsARunThatBeginsInTheNextLifeOfAWorkerThatAcceptedItsStop);
+    CPPUNIT_TEST(startsNoRunThatWaitedForATicketWhileItsWorkerBeganToDrain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -131,7 +133,7 @@
         }
     }
 
-    /** A run that was placed before its worker began to drain was started however late its record was stored. */
+    /** An owner whose record is stored so late loses the cell, so the runs that it placed before are not started. */
     void startsNoPlacedRunOnAWorkerThatDrainsSince()
     {
         constexpr Milliseconds storeDelay{2'300};
@@ -154,6 +156,66 @@
         CPPUNIT_ASSERT(world.startsOn(0) >= 4);
         assertNoViolations(world);
     }
+
+    /** A worker restarted after it had accepted a stop, executed the late start, and got no further stop. */
+    void stopsARunThatBeginsInTheNextLifeOfAWorkerThatAcceptedItsStop()
+    {
+        constexpr Milliseconds lateStartTime{3'500}; // until all starts that were sent before the stop are executed
+        DispatchWorld world(2, 1);
+        world.run(settleTime);
+        const auto owner = world.owner().value();
+        world.scripts[{1, 0, 0, 0}] = {{Milliseconds{600'000}, RunEnd::Done}};
+        world.linkModes[0] = LinkMode::DelaysStarts;
+        world.submit(owner, 1, endlessJob());
+        world.run(Milliseconds{1'000});
+        world.call(owner, CallVerb::Cancel, 1);
+        auto &runs = world.entry(owner).work.runs;
+        const auto hasAcceptedStop = [&] {
+            bool isAccepted = false;
+            runs.forEach([&](RunRef it) { isAccepted = isAccepted || runs.get<RunState>(it).stopAccepted; });
+            return isAccepted;
+        };
+        for (int n = 0; n < 1'000 && !hasAcceptedStop(); ++n) {
+            world.run(Milliseconds{1});
+        }
+        CPPUNIT_ASSERT(hasAcceptedStop());
+        world.worker(0).restart(world.now());
+        world.linkModes[0] = LinkMode::Cut;
+        world.run(lateStartTime);
+        CPPUNIT_ASSERT(world.runningOn({1, 0, 0, 0}).has_value());
+        world.linkModes[0] = LinkMode::Up;
+        world.run(cancelLimit);
+        CPPUNIT_ASSERT(!world.runningOn({1, 0, 0, 0}));
+    }
+
+    /** A placed run that waits for the renewal of its ticket is discarded when its worker drains meanwhile. */
+    void startsNoRunThatWaitedForATicketWhileItsWorkerBeganToDrain()
+    {
+        constexpr Milliseconds adviceTime{2'500};
+        constexpr Milliseconds storeDelay{700}; // the ticket expires before the placed runs are stored
+        DispatchWorld world(daemonCount, 2);
+        auto configuration = world.configuration;
+        configuration.queues[0].policy.advice = {true, 2'400, 1, Milliseconds{3'000}};
+        world.publish(configuration);
+        world.adviceTimes[1] = adviceTime;
+        world.run(settleTime);
+        const auto owner = world.owner().value();
+        world.submit((owner + 1) % daemonCount, 1, jobOf({plainStep(8)}));
+        const auto limit = world.now() + Milliseconds{4'000};
+        while (world.entry(owner).work.runs.size() == 0 && world.now() < limit) {
+            world.run(Milliseconds{1});
+        }
+        CPPUNIT_ASSERT(world.entry(owner).work.runs.size() > 0);
+        world.storeDelay = storeDelay;
+        world.run(storeDelay);
+        world.storeDelay = Milliseconds{0};
+        world.listWorker(1, true);
+        world.run(drainLimit);
+        const auto startsBefore = world.startsOn(1);
+        world.run(Milliseconds{4'000});
+        CPPUNIT_ASSERT_EQUAL(startsBefore, world.startsOn(1));
+        assertNoViolations(world);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchReviewTest);
--- a/tests/dispatch_stale_owner_test.cpp
+++ b/tests/dispatch_stale_owner_test.cpp
@@ -1,4 +1,4 @@
-/** @file dispatch_cancel_test.cpp Tests of owners that store records but do not read what others have stored. */
+/** @file dispatch_stale_owner_test.cpp Tests of owners that store records but do not read what others have stored. */
 #include "fakes/dispatch_world.h"
 
 #include <cppunit/extensions/HelperMacros.h>
