--- a/standin/worker_model.cpp
+++ b/standin/worker_model.cpp
@@ -43,7 +43,39 @@
     return run.script.isStalled ? 0 : static_cast<std::uint32_t>((now - run.startedAt).count() * percent / work);
 }
 
+Milliseconds WorkerModel::endOf(const Running &run) const
+{
+    const auto endsAt = std::min(run.endsAt, m_leaseUntil.time_since_epoch() + m_bootedAt);
+    return run.script.crashesAfter ? std::min(endsAt, run.startedAt + *run.script.crashesAfter) : endsAt;
+}
+
+std::optional<WorkerModel::Crash> WorkerModel::nextCrash() const
+{
+    std::optional<Crash> next;
+    for (const auto &[task, run] : m_running) {
+        const auto at = endOf(run);
+        const bool isCrash = run.script.crashesAfter && at == run.startedAt + *run.script.crashesAfter;
+        if (isCrash && (!next || at < next->at)) {
+            next = Crash{at, at + run.script.downtime};
+        }
+    }
+    return next;
+}
+
 void WorkerModel::advance(Milliseconds now)
+{
+    if (const auto crash = nextCrash(); crash && crash->at <= now) {
+        endRuns(crash->at - Milliseconds{1});
+        ++m_crashes;
+        restart(crash->backAt);
+        if (m_hooks.crashed) {
+            m_hooks.crashed(m_id, m_bootedAt);
+        }
+    }
+    endRuns(now);
+}
+
+void WorkerModel::endRuns(Milliseconds now)
 {
     for (auto it = m_running.begin(); it != m_running.end();) {
         const auto current = it++;
@@ -60,8 +92,7 @@
 {
     std::optional<Milliseconds> next;
     for (const auto &[task, run] : m_running) {
-        const auto at = std::min(run.endsAt, m_leaseUntil.time_since_epoch() + m_bootedAt);
-        next = next ? std::min(*next, at) : at;
+        next = next ? std::min(*next, endOf(run)) : endOf(run);
     }
     return next;
 }
@@ -72,6 +103,9 @@
     PollResponse response;
     response.worker = order.worker;
     response.token = order.token;
+    if (isDown(now)) {
+        return response;
+    }
     response.clock = clock(now);
     response.incarnation = static_cast<std::uint64_t>(m_bootedAt.count()) + 1;
     if (!acceptToken(order.token)) {
@@ -91,6 +125,9 @@
 OrderResult WorkerModel::start(const StartOrder &order, Milliseconds now)
 {
     advance(now);
+    if (isDown(now)) {
+        return OrderResult::NoResponse;
+    }
     if (!acceptToken(order.token)) {
         return OrderResult::Fenced;
     }
@@ -110,12 +147,16 @@
     const auto endsAt = script.isStalled ? Milliseconds::max() : now + script.work;
     m_running[order.task] = {order.number, endsAt, now, script};
     m_hooks.started({order.task, order.number, m_id, now});
-    return OrderResult::Accepted;
+    advance(now);
+    return isDown(now) ? OrderResult::NoResponse : OrderResult::Accepted;
 }
 
 OrderResult WorkerModel::stop(const StopOrder &order, Milliseconds now)
 {
     advance(now);
+    if (isDown(now)) {
+        return OrderResult::NoResponse;
+    }
     if (!acceptToken(order.token)) {
         return OrderResult::Fenced;
     }
--- a/standin/worker_model.h
+++ b/standin/worker_model.h
@@ -15,6 +15,9 @@
     Milliseconds work{100}; ///< Duration of the run.
     dispatch::RunEnd end = dispatch::RunEnd::Done; ///< How the run ends when its duration has passed.
     bool isStalled = false; ///< The run makes no progress and does not end.
+    /** Time after its start at which the run crashes its worker; unset for a run that does not. */
+    std::optional<Milliseconds> crashesAfter{};
+    Milliseconds downtime{3'000}; ///< Time from the crash to the worker's next boot.
 };
 
 /** A started run, as it is passed to the hooks. */
@@ -31,6 +34,8 @@
     std::function<RunScript(const dispatch::TaskName &, dispatch::RunNumber)> script;
     std::function<void(const StartedRun &)> started; ///< Called after the start of a run.
     std::function<void(const StartedRun &, dispatch::RunEnd)> ended; ///< Called when a run ends.
+    /** Called with the id of the worker and the time of its next boot when a run crashes it; may be empty. */
+    std::function<void(const std::string &, Milliseconds)> crashed{};
 };
 
 /** A worker. Its own clock is zero at boot and advances with the time that the caller passes in. */
@@ -62,13 +67,42 @@
      */
     dispatch::OrderResult stop(const dispatch::StopOrder &order, Milliseconds now);
 
-    /** Ends runs that have finished or whose lease has expired. */
+    /** Ends runs that have finished or whose lease has expired, and crashes when a run causes that. */
     void advance(Milliseconds now);
 
     /** Crashes and boots again under the same id. Running runs end as LeaseExpired; all other state is lost. */
     void restart(Milliseconds now);
 
-    /** Returns the time at which the next run ends, by its script or its lease, or nothing when none is running. */
+    /**
+     * Returns true between a crash that a run has caused and the boot that follows it. Until then the worker answers
+     * every order with NoResponse and executes none.
+     */
+    bool isDown(Milliseconds now) const
+    {
+        return now < m_bootedAt;
+    }
+
+    /** Returns how often a run has crashed the worker. */
+    std::size_t crashes() const
+    {
+        return m_crashes;
+    }
+
+    /** Gives the worker another id, as a platform does that replaces a crashed worker by a new one. */
+    void setId(std::string id)
+    {
+        m_id = std::move(id);
+    }
+
+    void setCapacity(const Resources &capacity)
+    {
+        m_capacity = capacity;
+    }
+
+    /**
+     * Returns the time at which the next run ends, by its script, its lease or a crash, or nothing when none is
+     * running.
+     */
     std::optional<Milliseconds> nextEnd() const;
 
     /** Returns true when there are ended runs that no daemon has acknowledged. */
@@ -101,6 +135,18 @@
     };
 
     static std::uint32_t progressPercent(const Running &run, Milliseconds now);
+    /** Returns the time at which a run ends, by its script, its lease or the crash that it causes. */
+    Milliseconds endOf(const Running &run) const;
+    /** Ends the runs that have finished or whose lease has expired by the given time. */
+    void endRuns(Milliseconds now);
+    /** A crash that a running run will cause. */
+    struct Crash {
+        Milliseconds at{0};
+        Milliseconds backAt{0}; ///< When the worker boots again.
+    };
+
+    /** Returns the first crash that a running run will cause; nothing when none does. */
+    std::optional<Crash> nextCrash() const;
     void endRun(std::map<dispatch::TaskName, Running>::iterator it, dispatch::RunEnd how);
     /** Converts the time of the caller to the worker's own clock. */
     WorkerTime clock(Milliseconds now) const;
@@ -114,6 +160,7 @@
     dispatch::Token m_token = 0;
     WorkerTime m_leaseUntil{};
     std::uint64_t m_nextEndNumber = 1;
+    std::size_t m_crashes = 0;
     std::map<dispatch::TaskName, Running> m_running;
     std::vector<dispatch::EndRow> m_ended;
     /** Highest run number of each task that was stopped or has ended on this worker. */
--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -139,7 +139,7 @@
 
     void poll(const PollOrder &order)
     {
-        const auto n = m_world.indexOf(order.id);
+        const auto n = m_world.indexOfAddress(order.address);
         const auto sentAt = now();
         if (m_world.linkModes[n] == LinkMode::Cut) {
             deliverLater(order.wait + Milliseconds{800}, [order, sentAt](Inbox &inbox) {
@@ -162,7 +162,7 @@
     /** Makes the worker answer a poll that has arrived; the response is lost after the order's time-out. */
     void executePoll(const PollOrder &order, MonotonicTime sentAt)
     {
-        const auto n = m_world.indexOf(order.id);
+        const auto n = m_world.indexOfAddress(order.address);
         auto &model = m_world.worker(n);
         model.advance(m_world.m_queue.now());
         const auto next = model.nextEnd();
@@ -174,11 +174,11 @@
 
     void start(const StartOrder &order)
     {
-        const auto n = m_world.indexOf(order.id);
+        const auto n = m_world.indexOfAddress(order.address);
         const auto linkMode = m_world.linkModes[n];
         const auto executeStart = [world = &m_world, order, n] {
             world->advanceWorkers();
-            return world->worker(n).start(order, world->m_queue.now());
+            return world->executeOn(n, order);
         };
         if (linkMode != LinkMode::Up) {
             if (linkMode == LinkMode::DelaysStarts) {
@@ -203,12 +203,12 @@
 
     void stop(const StopOrder &order)
     {
-        const auto n = m_world.indexOf(order.id);
+        const auto n = m_world.indexOfAddress(order.address);
         if (m_world.linkModes[n] == LinkMode::Cut) {
             respondToOrder(OrderKind::Stop, order.run, order.token, OrderResult::NoResponse, Milliseconds{700});
             return;
         }
-        const auto result = m_world.worker(n).stop(order, m_world.m_queue.now());
+        const auto result = m_world.executeOn(n, order);
         respondToOrder(OrderKind::Stop, order.run, order.token, result, 2 * messageDelay);
     }
 
@@ -278,14 +278,15 @@
     void respondToPoll(const PollOrder &order, MonotonicTime sentAt, Milliseconds delay)
     {
         m_world.m_queue.after(delay, [world = &m_world, daemon = m_daemon, incarnation = m_incarnation, order, sentAt] {
-            const auto n = world->indexOf(order.id);
+            const auto n = world->indexOfAddress(order.address);
             const bool isCut = world->linkModes[n] == LinkMode::Cut;
             const bool isLate =
                 world->linkBytesPerMs > 0 && MonotonicTime{world->m_queue.now()} - sentAt > order.timeout;
             if (isLate) {
-                world->worker(n).poll(order, world->m_queue.now()); // executed, though nobody hears of it
+                world->executeOn(n, order); // executed, though nobody hears of it
             }
-            if (isCut || isLate) {
+            world->worker(n).advance(world->m_queue.now());
+            if (isCut || isLate || world->worker(n).isDown(world->m_queue.now())) {
                 world->deliver(daemon, incarnation, Milliseconds{isCut ? 1'000 : 0}, [order, sentAt](Inbox &inbox) {
                     PollResponse lost;
                     lost.worker = order.worker;
@@ -295,7 +296,7 @@
                 });
                 return;
             }
-            auto response = world->worker(n).poll(order, world->m_queue.now());
+            auto response = world->executeOn(n, order);
             response.sentAt = sentAt;
             response.receivedAt = MonotonicTime{world->m_queue.now() + messageDelay};
             world->deliver(daemon, incarnation, messageDelay, [response](Inbox &inbox) {
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -79,8 +79,9 @@
                                              return it->second[std::min<std::size_t>(run, it->second.size()) - 1];
                                          },
                                          [this](const StartedRun &run) { onRunBegun(run); },
-                                         [this](const StartedRun &run, RunEnd how) {
-                                             onRunEnded(run, how);
+                                         [this](const StartedRun &run, RunEnd how) { onRunEnded(run, how); },
+                                         [this](const std::string &worker, Milliseconds backAt) {
+                                             onCrashed(worker, backAt);
                                          }};
         constexpr Resources capacity{4'000, 16'384, 0};
         Worker worker;
@@ -289,6 +290,55 @@
     return 0;
 }
 
+std::size_t DispatchWorld::indexOfAddress(const std::string &address) const
+{
+    const auto it = std::ranges::find(m_workers, address, [](const Worker &worker) { return worker.listing.address; });
+    CPPUNIT_ASSERT(it != m_workers.end());
+    return static_cast<std::size_t>(it - m_workers.begin());
+}
+
+void DispatchWorld::onCrashed(const std::string &worker, Milliseconds backAt)
+{
+    if (!changesIdsAfterCrash) {
+        return;
+    }
+    m_queue.at(std::max(backAt, m_queue.now()), [this, n = indexOf(worker)] {
+        unlistWorker(n);
+        auto &it = m_workers[n];
+        it.listing.id += "x";
+        it.model->setId(it.listing.id);
+        it.listing.removed = false;
+        publishListing(n);
+    });
+}
+
+OrderResult DispatchWorld::executeOn(std::size_t n, const StartOrder &order)
+{
+    auto &model = worker(n);
+    const bool isMeant = order.id == model.id() || model.isDown(m_queue.now());
+    return isMeant ? model.start(order, m_queue.now()) : OrderResult::WorkerReplaced;
+}
+
+OrderResult DispatchWorld::executeOn(std::size_t n, const StopOrder &order)
+{
+    auto &model = worker(n);
+    const bool isMeant = order.id == model.id() || model.isDown(m_queue.now());
+    return isMeant ? model.stop(order, m_queue.now()) : OrderResult::WorkerReplaced;
+}
+
+PollResponse DispatchWorld::executeOn(std::size_t n, const PollOrder &order)
+{
+    auto &model = worker(n);
+    if (order.id == model.id() || model.isDown(m_queue.now())) {
+        return model.poll(order, m_queue.now());
+    }
+    PollResponse response;
+    response.worker = order.worker;
+    response.token = order.token;
+    response.result = OrderResult::WorkerReplaced;
+    return response;
+}
+
 const JobSpec *DispatchWorld::specOf(JobId id) const
 {
     const auto it = m_specs.find(id);
@@ -347,9 +397,31 @@
 void DispatchWorld::listWorker(std::size_t n, bool draining)
 {
     m_workers[n].listing.draining = draining;
+    m_workers[n].listing.removed = false;
     publishListing(n);
 }
 
+void DispatchWorld::setCapacity(std::size_t n, const Resources &capacity)
+{
+    m_workers[n].listing.capacity = capacity;
+    publishListing(n);
+    const auto &old = worker(n).capacity();
+    worker(n).setCapacity({std::max(old.cpuMilli, capacity.cpuMilli),
+                           std::max(old.memoryMb, capacity.memoryMb),
+                           std::max(old.accelerators, capacity.accelerators)});
+    // orders that were sent before the daemons could know of the change arrive before it counts
+    m_queue.after(4 * messageDelay, [this, n, capacity] { worker(n).setCapacity(capacity); });
+}
+
+std::size_t DispatchWorld::crashes() const
+{
+    std::size_t sum = 0;
+    for (const auto &it : m_workers) {
+        sum += it.model->crashes();
+    }
+    return sum;
+}
+
 void DispatchWorld::unlistWorker(std::size_t n)
 {
     m_workers[n].listing.removed = true;
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -31,6 +31,7 @@
 enum class LinkMode : std::uint8_t {
     Up,
     Cut, ///< No message arrives in either direction.
+    LosesStarts, ///< Start orders do not arrive.
     DelaysStarts, ///< Start orders are executed late and get no response.
     End,
 };
@@ -105,6 +106,12 @@
     /** Publishes the entry of a worker in the list of workers anew, as draining or not. */
     void listWorker(std::size_t n, bool draining);
 
+    /** Publishes the entry of a worker in the list of workers anew, with another capacity. */
+    void setCapacity(std::size_t n, const Resources &capacity);
+
+    /** Returns how often runs have crashed their workers, on all workers. */
+    std::size_t crashes() const;
+
     /** Removes the entry of a worker from the list of workers. */
     void unlistWorker(std::size_t n);
 
@@ -116,6 +123,8 @@
      * Scripts of the runs of a task, by task, in the order of run numbers; the last script applies to all later runs.
      */
     std::map<dispatch::TaskName, std::vector<standin::RunScript>> scripts;
+    /** A worker that a run has crashed comes back under another id, at the address that it had. */
+    bool changesIdsAfterCrash = false;
     std::map<std::size_t, StoreMode> storeModes; ///< By daemon.
     std::map<std::size_t, LinkMode> linkModes; ///< By worker.
     std::map<std::size_t, Milliseconds> tickTimes; ///< How long a tick of a daemon takes, by daemon; else no time.
@@ -187,6 +196,14 @@
     void onRunEnded(const standin::StartedRun &run, dispatch::RunEnd how);
     /** Returns the index of the worker with an id; fails the test if there is none. */
     std::size_t indexOf(const std::string &worker) const;
+    /** Returns the index of the worker at an address; fails the test if there is none. */
+    std::size_t indexOfAddress(const std::string &address) const;
+    /** Lists a worker under another id when it is back after a crash. */
+    void onCrashed(const std::string &worker, Milliseconds backAt);
+    /** Makes a worker execute an order. One that is meant for another id is answered with WorkerReplaced. */
+    dispatch::OrderResult executeOn(std::size_t n, const dispatch::StartOrder &order);
+    dispatch::OrderResult executeOn(std::size_t n, const dispatch::StopOrder &order);
+    dispatch::PollResponse executeOn(std::size_t n, const dispatch::PollOrder &order);
     /** Returns the first specification submitted for a job; null if there is none. */
     dispatch::JobSpec const *specOf(dispatch::JobId id) const;
 
