Give up a task through which workers crash

A sound task that was there is tried again by itself and completes.

Cause: only failed runs counted as attempts; a run that ends with its worker does not fail. Nothing counted crashes.

Change: crash.cpp finds the most suspected runs of a worker that is known to have crashed (another incarnation, or another worker at its address, and not draining); their tasks count the crash, gangs once. The count is stored with the progress of the task, in rows that only records with crashes have. A suspected task gets a worker on which nothing else is begun for half a second. Runs of a restarted worker that its first report lists, or whose start it confirmed after that, are no longer ended; starts that were not confirmed are stopped.

--- a/src/dispatch/codec/journal_codec.cpp
+++ b/src/dispatch/codec/journal_codec.cpp
@@ -102,7 +102,9 @@
     /** Long progress is compressed, as all daemons read it. Other values never begin like a frame. */
     std::string operator()(const ProgressRecord &it) const
     {
-        auto plain = encodeValue(columnsOf(it));
+        auto crashed = crashedRowsOf(it);
+        auto plain = crashed.empty() ? encodeValue(columnsOf(it))
+                                     : encodeValue(CrashedProgressColumns{columnsOf(it), std::move(crashed)});
         if (plain.size() < minCompressedBytes) {
             return plain;
         }
@@ -117,9 +119,11 @@
     }
 };
 
-absl::StatusOr<JournalRecord> decodePlainProgress(std::string_view value)
+/** Decodes columns of one of the types in which progress is stored, and rebuilds the record. */
+template<typename Columns>
+absl::StatusOr<JournalRecord> decodeColumns(std::string_view value)
 {
-    const auto columns = decodeValue<ProgressColumns>(value, Step::ReadLog);
+    const auto columns = decodeValue<Columns>(value, Step::ReadLog);
     if (!columns.ok()) {
         return columns.status();
     }
@@ -130,6 +134,12 @@
     return JournalRecord(*std::move(record));
 }
 
+absl::StatusOr<JournalRecord> decodePlainProgress(std::string_view value)
+{
+    auto record = decodeColumns<ProgressColumns>(value);
+    return record.ok() ? std::move(record) : decodeColumns<CrashedProgressColumns>(value);
+}
+
 absl::StatusOr<JournalRecord> decodeProgress(std::string_view value)
 {
     if (!value.starts_with(frameStart)) {
--- a/src/dispatch/codec/progress_columns.cpp
+++ b/src/dispatch/codec/progress_columns.cpp
@@ -37,6 +37,14 @@
     });
 }
 
+absl::Status missingTaskError()
+{
+    return makeError(absl::StatusCode::kInvalidArgument,
+                     Step::ReadLog,
+                     "",
+                     "progress record: row refers to a task that the record does not have");
+}
+
 } // namespace
 
 ProgressColumns columnsOf(const ProgressRecord &record)
@@ -76,7 +84,7 @@
             return makeError(
                 absl::StatusCode::kInvalidArgument, Step::ReadLog, "", "progress record: invalid task phase");
         }
-        record.tasks.push_back({phase, 0, defaultRun(phase), {}, {}});
+        record.tasks.push_back({phase, 0, defaultRun(phase), {}, {}, 0});
     }
     const bool isValid =
         applyRows(record, columns.placed, [](TaskProgress &task, const PlacedRow &row) { task.worker = row.worker; })
@@ -89,10 +97,32 @@
         && applyRows(
             record, columns.saved, [](TaskProgress &task, const SavedRow &row) { task.checkpoint = row.checkpoint; });
     if (!isValid) {
-        return makeError(absl::StatusCode::kInvalidArgument,
-                         Step::ReadLog,
-                         "",
-                         "progress record: row refers to a task that the record does not have");
+        return missingTaskError();
+    }
+    return record;
+}
+
+std::vector<CrashedRow> crashedRowsOf(const ProgressRecord &record)
+{
+    std::vector<CrashedRow> rows;
+    for (std::size_t n = 0; n < record.tasks.size(); ++n) {
+        if (const auto crashes = record.tasks[n].crashes; crashes > 0) {
+            rows.push_back({static_cast<std::uint16_t>(n), crashes});
+        }
+    }
+    return rows;
+}
+
+absl::StatusOr<ProgressRecord> recordOf(const CrashedProgressColumns &columns)
+{
+    auto record = recordOf(columns.columns);
+    if (!record.ok()) {
+        return record;
+    }
+    const bool isValid = applyRows(
+        *record, columns.crashed, [](TaskProgress &task, const CrashedRow &row) { task.crashes = row.crashes; });
+    if (!isValid) {
+        return missingTaskError();
     }
     return record;
 }
--- a/src/dispatch/codec/progress_columns.h
+++ b/src/dispatch/codec/progress_columns.h
@@ -56,6 +56,18 @@
     }
 };
 
+/** A task through which workers have crashed. */
+struct CrashedRow {
+    std::uint16_t task = 0; ///< Index of the task in the record.
+    std::uint32_t crashes = 0; ///< Number of these workers.
+
+    template<typename Visitor>
+    void fields(Visitor &&visitor)
+    {
+        visitor(task, crashes);
+    }
+};
+
 /** The columns of a ProgressRecord. */
 struct ProgressColumns {
     dispatch::JobId job = 0;
@@ -74,6 +86,18 @@
     }
 };
 
+/** The columns of a ProgressRecord with tasks through which workers have crashed. Other records are stored without. */
+struct CrashedProgressColumns {
+    ProgressColumns columns;
+    std::vector<CrashedRow> crashed;
+
+    template<typename Visitor>
+    void fields(Visitor &&visitor)
+    {
+        visitor(columns, crashed);
+    }
+};
+
 /** Splits a progress record into columns. @param record At most 65,535 tasks, as their indexes have 16 bits. */
 ProgressColumns columnsOf(const dispatch::ProgressRecord &record);
 
@@ -83,4 +107,10 @@
  */
 absl::StatusOr<dispatch::ProgressRecord> recordOf(const ProgressColumns &columns);
 
+/** Returns the rows of the tasks through which workers have crashed. @param record At most 65,535 tasks. */
+std::vector<CrashedRow> crashedRowsOf(const dispatch::ProgressRecord &record);
+
+/** Rebuilds a record with tasks through which workers have crashed. Errors are those of the other overload. */
+absl::StatusOr<dispatch::ProgressRecord> recordOf(const CrashedProgressColumns &columns);
+
 } // namespace flamingotally
--- /dev/null
+++ b/src/dispatch/crash.cpp
@@ -0,0 +1,116 @@
+#include "dispatch/crash_func.h"
+
+#include "dispatch/entry_func.h"
+#include "dispatch/work_func.h"
+
+#include <algorithm>
+
+namespace flamingotally::dispatch
+{
+
+namespace
+{
+
+/** A run that was confirmed this long before the worker's last response did not make the worker crash. */
+constexpr Milliseconds settledAfter{10'000};
+/** A start order sent this long before the worker's last response, or later, is recent. */
+constexpr Milliseconds recentPeriod{200};
+constexpr Milliseconds verdictPeriod{15'000}; ///< How long a silent worker is polled for whether it has crashed.
+
+/** Returns the most suspected runs of a worker; none when all have been running for long. */
+std::vector<SuspectRun> suspectsOn(const Entry &entry, WorkerRef worker)
+{
+    std::vector<SuspectRun> suspects;
+    auto highest = Suspicion::Unsettled;
+    for (const auto run : entry.workers.table.get<WorkerLoad>(worker).runs) {
+        const auto suspicion = suspicionOf(entry, run);
+        if (suspicion < highest) {
+            continue;
+        }
+        if (suspicion > highest) {
+            highest = suspicion;
+            suspects.clear();
+        }
+        const auto &identity = entry.work.runs.get<RunIdentity>(run);
+        suspects.push_back({identity.task, identity.number, suspicion});
+    }
+    return suspects;
+}
+
+/** Returns true if the suspects are a single task, or members of one gang. */
+bool isOneSuspect(const Entry &entry, const std::vector<SuspectRun> &suspects)
+{
+    const auto groupOf = [&](const SuspectRun &it) {
+        return entry.work.tasks.get<TaskIdentity>(it.task).group;
+    };
+    return suspects.size() == 1 || std::ranges::all_of(suspects, [&](const SuspectRun &it) {
+               return groupOf(it) == groupOf(suspects.front()) && stepOf(entry, groupOf(it)).gang;
+           });
+}
+
+} // namespace
+
+Suspicion suspicionOf(const Entry &entry, RunRef run)
+{
+    const auto &identity = entry.work.runs.get<RunIdentity>(run);
+    const auto &state = entry.work.runs.get<RunState>(run);
+    const auto aliveAt = entry.workers.table.get<WorkerLink>(identity.worker).lastResponseAt;
+    const bool isSettled = state.confirmedAt != MonotonicTime{} && aliveAt - state.confirmedAt >= settledAfter;
+    if (state.firstSentAt == MonotonicTime{} || isSettled) {
+        return Suspicion::None;
+    }
+    const bool isRecent = state.confirmedAt == MonotonicTime{} || state.firstSentAt > aliveAt - recentPeriod;
+    const bool isAgain = entry.work.tasks.get<TaskState>(identity.task).crashes > 0;
+    if (isRecent) {
+        return isAgain ? Suspicion::RecentAgain : Suspicion::Recent;
+    }
+    return isAgain ? Suspicion::UnsettledAgain : Suspicion::Unsettled;
+}
+
+void recordCrash(Entry &entry, WorkerRef worker, const TickTime &time)
+{
+    auto suspects = suspectsOn(entry, worker);
+    auto &link = entry.workers.table.get<WorkerLink>(worker);
+    const auto lost = std::exchange(link.lostSuspects, {});
+    suspects.insert(suspects.end(), lost.begin(), lost.end());
+    std::erase_if(suspects, [&](const SuspectRun &it) { return !entry.work.tasks.contains(it.task); });
+    if (entry.workers.table.get<WorkerHealth>(worker).draining) {
+        return;
+    }
+    const bool isAlone = isOneSuspect(entry, suspects);
+    for (const auto &it : suspects) {
+        const auto name = nameOf(entry, it.task);
+        logEvent(entry,
+                 EventKind::TaskSuspected,
+                 name.job,
+                 "task={}.{}.{} run={} worker={} crashes_before={} suspicion={} suspects={}",
+                 name.occurrence,
+                 name.step,
+                 name.index,
+                 it.number,
+                 entry.workers.table.get<WorkerIdentity>(worker).id,
+                 entry.work.tasks.get<TaskState>(it.task).crashes,
+                 flamingotally::nameOf(suspicionTable, it.suspicion),
+                 suspects.size());
+        countCrash(entry, it.task, it.number, isAlone, time);
+    }
+}
+
+void rememberSuspects(Entry &entry, WorkerRef worker, const TickTime &time)
+{
+    auto suspects = suspectsOn(entry, worker);
+    if (suspects.empty()) {
+        return;
+    }
+    auto &link = entry.workers.table.get<WorkerLink>(worker);
+    link.lostSuspects = std::move(suspects);
+    link.lostAt = time.now;
+}
+
+bool awaitsVerdict(const Entry &entry, WorkerRef worker, const TickTime &time)
+{
+    const auto &link = entry.workers.table.get<WorkerLink>(worker);
+    return !link.lostSuspects.empty() && time.now - link.lostAt < verdictPeriod;
+}
+
+} // namespace flamingotally::dispatch
--- a/src/dispatch/policy/placer.h
+++ b/src/dispatch/policy/placer.h
@@ -130,6 +130,8 @@
     static constexpr std::uint32_t maxLargeReservations = 32; ///< Maximum reservations for large tasks in a pass.
     /** A task that needs more than 1/4 of a resource of a worker is large there. */
     static constexpr std::int64_t largeDivisor = 4;
+    /** A worker on which nothing was placed for this long is preferred for a task suspected of a crash. */
+    static constexpr Milliseconds quietPeriod{500};
     /** Minimum remaining validity of a ticket, so that the start order arrives in time. */
     static constexpr Milliseconds ticketMargin{200};
 
@@ -201,6 +203,9 @@
 
     bool hasCapacity(WorkerRef worker) const
     {
+        if (m_time.now < m_entry.workers.table.get<WorkerHealth>(worker).trialUntil) {
+            return false;
+        }
         const auto &capacity = m_entry.workers.table.get<WorkerIdentity>(worker).capacity;
         return m_demand.fitsInto(capacity - m_entry.workers.table.get<WorkerLoad>(worker).used - reservedOn(worker));
     }
@@ -292,6 +297,7 @@
         it.isAvoided = task.avoidedWorker == worker;
         it.wouldInterfere = (m_step.bestEffort && load.latencyBoundRuns > 0)
             || (m_step.targetResponse.count() > 0 && load.bestEffortRuns > 0);
+        it.wouldConfuseTrial = task.crashes > 0 && m_time.now - load.placedAt < quietPeriod;
         it.failedInRow = m_entry.workers.table.get<WorkerHealth>(worker).failedInRow;
         return it;
     }
--- a/src/dispatch/systems/order.cpp
+++ b/src/dispatch/systems/order.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/crash_func.h"
 #include "dispatch/entry_func.h"
 #include "dispatch/lease_expiry.h"
 #include "dispatch/policy/order_pacing.h"
@@ -105,7 +106,7 @@
         return;
     }
     state.inFlight = true;
-    ++state.startsSent;
+    state.firstSentAt = state.startsSent++ == 0 ? time.now : state.firstSentAt;
     const auto job = entry.work.groups.get<GroupIdentity>(group).job;
     StartOrder order;
     order.run = run;
@@ -256,6 +257,7 @@
 /** Ends the runs of a worker whose lease has expired if their starts may have arrived, and discards the others. */
 void endExpiredRuns(Entry &entry, WorkerRef worker, const TickTime &time)
 {
+    rememberSuspects(entry, worker, time);
     const auto runs = entry.workers.table.get<WorkerLoad>(worker).runs;
     for (const auto run : runs) {
         if (!entry.work.runs.contains(run)) {
--- a/src/dispatch/systems/worker_list.cpp
+++ b/src/dispatch/systems/worker_list.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/crash_func.h"
 #include "dispatch/entry_func.h"
 #include "dispatch/systems/systems.h"
 #include "dispatch/work_func.h"
@@ -56,13 +57,13 @@
     });
 }
 
-/** Removes the workers that are not listed and have neither runs nor run ends that are not stored yet. */
-void eraseUnlisted(Entry &entry)
+/** Removes the workers that are not listed, have no runs and no run ends to be stored, and await no verdict. */
+void eraseUnlisted(Entry &entry, const TickTime &time)
 {
     entry.workers.table.forEach([&](WorkerRef worker) {
         const bool isNeeded = entry.workers.table.get<WorkerHealth>(worker).listed
             || !entry.workers.table.get<WorkerLoad>(worker).runs.empty()
-            || !entry.workers.table.get<WorkerLink>(worker).pendingEnds.empty();
+            || !entry.workers.table.get<WorkerLink>(worker).pendingEnds.empty() || awaitsVerdict(entry, worker, time);
         if (!isNeeded) {
             entry.workers.byId.erase(entry.workers.table.get<WorkerIdentity>(worker).id);
             entry.workers.table.erase(worker);
@@ -89,7 +90,7 @@
             }
         }
     }
-    eraseUnlisted(entry);
+    eraseUnlisted(entry, time);
 }
 
 } // namespace flamingotally::dispatch
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/crash_func.h"
 #include "dispatch/entry_func.h"
 #include "dispatch/lease_expiry.h"
 #include "dispatch/policy/order_pacing.h"
@@ -54,15 +55,55 @@
     }
 }
 
+/** Returns the run in this owner's tables that a row of a worker's report is about; unset when there is none. */
+RunRef findRun(const Entry &entry, WorkerRef worker, const TaskName &task, RunNumber number)
+{
+    const auto it = entry.work.runByTask.find(task);
+    if (it == entry.work.runByTask.end()) {
+        return {};
+    }
+    const auto &identity = entry.work.runs.get<RunIdentity>(it->second);
+    return identity.worker == worker && identity.number == number ? it->second : RunRef{};
+}
+
+/** Returns true if a report lists a run as running. */
+bool isReported(const Entry &entry, const PollResponse &response, RunRef run)
+{
+    return std::ranges::any_of(response.running, [&](const RunningRow &row) {
+        return findRun(entry, response.worker, row.task, row.run) == run;
+    });
+}
+
+/**
+ * Ends the runs that a worker had before it restarted. An order that may have arrived before or after the restart is
+ * followed by a stop order, as the new incarnation may execute it late.
+ */
+void endRunsBeforeRestart(Entry &entry, const PollResponse &response, const TickTime &time)
+{
+    const auto runs = entry.workers.table.get<WorkerLoad>(response.worker).runs;
+    for (const auto run : runs) {
+        if (!entry.work.runs.contains(run) || isReported(entry, response, run)) {
+            continue;
+        }
+        const auto &state = entry.work.runs.get<RunState>(run);
+        if (state.phase == RunPhase::Running && state.confirmedAt < response.sentAt) {
+            endRun(entry, run, RunEnd::LeaseExpired, {}, time);
+        } else if (state.phase == RunPhase::Ordered && state.startsSent > 0) {
+            stopRun(entry, run, time);
+        }
+    }
+}
+
 /**
  * Resets the link to a worker that responds under another incarnation. If it responded before, it has restarted, and
  * its confirmed runs have ended.
  */
-void beginIncarnation(Entry &entry, WorkerRef worker, std::uint64_t incarnation, const TickTime &time)
+void beginIncarnation(Entry &entry, const PollResponse &response, const TickTime &time)
 {
+    const auto worker = response.worker;
     auto &link = entry.workers.table.get<WorkerLink>(worker);
     const bool isRestarted = link.incarnation != 0;
-    link.incarnation = incarnation;
+    link.incarnation = response.incarnation;
     link.lastEndApplied = 0;
     link.lastEndStored = 0;
     link.lastEndAcknowledged = 0;
@@ -71,24 +112,15 @@
         return;
     }
     link.latestLeaseUntil = {};
-    logEvent(entry, EventKind::WorkerRestarted, 0, "worker={}", entry.workers.table.get<WorkerIdentity>(worker).id);
-    const auto runs = entry.workers.table.get<WorkerLoad>(worker).runs;
-    for (const auto run : runs) {
-        if (entry.work.runs.contains(run) && entry.work.runs.get<RunState>(run).phase == RunPhase::Running) {
-            endRun(entry, run, RunEnd::LeaseExpired, {}, time);
-        }
-    }
-}
-
-/** Returns the run in this owner's tables that a row of a worker's report is about; unset when there is none. */
-RunRef findRun(const Entry &entry, WorkerRef worker, const TaskName &task, RunNumber number)
-{
-    const auto it = entry.work.runByTask.find(task);
-    if (it == entry.work.runByTask.end()) {
-        return {};
-    }
-    const auto &identity = entry.work.runs.get<RunIdentity>(it->second);
-    return identity.worker == worker && identity.number == number ? it->second : RunRef{};
+    logEvent(entry,
+             EventKind::WorkerRestarted,
+             0,
+             "worker={} runs={} silent_ms={}",
+             entry.workers.table.get<WorkerIdentity>(worker).id,
+             entry.workers.table.get<WorkerLoad>(worker).runs.size(),
+             (time.now - link.lastResponseAt).count());
+    recordCrash(entry, worker, time);
+    endRunsBeforeRestart(entry, response, time);
 }
 
 /** Stops a run that a worker reports but that is not in this owner's tables. */
@@ -283,7 +315,7 @@
         return;
     }
     if (entry.workers.table.get<WorkerLink>(response.worker).incarnation != response.incarnation) {
-        beginIncarnation(entry, response.worker, response.incarnation, time);
+        beginIncarnation(entry, response, time);
     }
     auto &link = entry.workers.table.get<WorkerLink>(response.worker);
     if (link.missedPolls >= unresponsiveAfter) {
@@ -296,6 +328,7 @@
     entry.work.passRequested = entry.work.passRequested || !link.hasResponded || link.missedPolls > 0;
     entry.counters.observe(LatencyKind::Poll, response.receivedAt - response.sentAt);
     link.missedPolls = 0;
+    link.lostSuspects.clear();
     link.hasResponded = true;
     link.lastResponseAt = time.now;
     link.clock = response.clock;
--- a/src/dispatch/work.cpp
+++ b/src/dispatch/work.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/** How long a worker gets no other tasks after the start of one that is suspected of a crash. */
+constexpr Milliseconds trialPeriod{500};
+
 /** Inserts the tasks of a group. */
 void makeTasks(Work &work, GroupRef group, std::uint32_t count)
 {
@@ -27,7 +30,9 @@
 {
     const auto worker = workerOf(entry, progress.worker);
     const auto run = placeTask(entry, task, worker, progress.run, time);
-    entry.work.runs.get<RunState>(run).phase = RunPhase::Unverified;
+    auto &state = entry.work.runs.get<RunState>(run);
+    state.phase = RunPhase::Unverified;
+    state.firstSentAt = time.now;
 }
 
 /**
@@ -47,6 +52,7 @@
             const auto &row = rows[n++];
             auto &state = work.tasks.get<TaskState>(task);
             state.failures = row.failures;
+            state.crashes = row.crashes;
             state.lastRun = row.run;
             state.checkpoint = row.checkpoint;
             auto &groupState = work.groups.get<GroupState>(group);
@@ -251,7 +257,11 @@
     load.used += run.reservedOnWorker;
     load.latencyBoundRuns += step.targetResponse.count() > 0 ? 1 : 0;
     load.bestEffortRuns += step.bestEffort ? 1 : 0;
+    load.placedAt = time.now;
     load.runs.push_back(ref);
+    if (state.crashes > 0) {
+        entry.workers.table.get<WorkerHealth>(worker).trialUntil = time.now + trialPeriod;
+    }
     const auto job = work.groups.get<GroupIdentity>(group).job;
     work.teamUse[entry.jobs.table.get<JobIdentity>(job).team] += run.chargedToTeam;
     work.runByTask[nameOf(entry, task)] = ref;
@@ -313,7 +323,7 @@
     for (const auto group : state.groups) {
         for (const auto task : work.groups.get<GroupState>(group).tasks) {
             const auto &it = work.tasks.get<TaskState>(task);
-            TaskProgress row{it.phase, it.failures, it.lastRun, {}, it.checkpoint};
+            TaskProgress row{it.phase, it.failures, it.lastRun, {}, it.checkpoint, it.crashes};
             if (it.run.isSet() && it.phase == TaskPhase::Placed) {
                 const auto &run = work.runs.get<RunIdentity>(it.run);
                 row.worker = entry.workers.table.get<WorkerIdentity>(run.worker).id;
--- a/src/dispatch/work_base.h
+++ b/src/dispatch/work_base.h
@@ -58,6 +58,7 @@
     std::uint32_t done = 0; ///< Number of tasks that are done.
     std::uint32_t failures = 0; ///< For a gang: number of attempts of which at least one run failed.
     RunNumber failedRun = 0; ///< For a gang: number of the last run that was counted in `failures`.
+    RunNumber crashedRun = 0; ///< For a gang: number of the last run that was counted in the `crashes` of its members.
     MonotonicTime openedAt{}; ///< When the group was opened; zero before.
     std::vector<TaskRef> tasks; ///< By index.
 };
@@ -93,6 +94,7 @@
 struct TaskState {
     TaskPhase phase = TaskPhase::Waiting;
     std::uint32_t failures = 0; ///< Number of failed runs; for a member of a gang, that of the gang.
+    std::uint32_t crashes = 0; ///< Workers that probably crashed through its runs; for a gang's member, the gang's.
     RunNumber lastRun = 0; ///< Number of the last run, or a higher number after which the next run is numbered.
     std::string checkpoint; ///< Last checkpoint; empty for none.
     RunRef run; ///< The current run; unset when the task has none.
@@ -117,6 +119,8 @@
     bool mayHaveArrived = false; ///< A start order got no response, so it may have been executed or may be later.
     std::uint32_t startsSent = 0; ///< Number of start orders sent.
     MonotonicTime sendAt{}; ///< The next order is not sent before this time.
+    /** When the first start order was sent; for a run of a previous owner, when this owner took it over. */
+    MonotonicTime firstSentAt{};
     /** When the worker confirmed the start or the stop; responses to polls sent later reflect that. */
     MonotonicTime confirmedAt{};
     bool stopAccepted = false; ///< The worker has accepted the stop order.
--- a/src/dispatch/work_end.cpp
+++ b/src/dispatch/work_end.cpp
@@ -1,10 +1,12 @@
 #include "dispatch/work_func.h"
 
+#include "dispatch/crash_func.h"
 #include "dispatch/entry_func.h"
 #include "dispatch/table/dispatch_table.h"
 #include "dispatch/work_step.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace flamingotally::dispatch
 {
@@ -12,8 +14,16 @@
 namespace
 {
 
-/** Fails a job after a task or gang of one of its occurrences has reached the maximum number of failed runs. */
-void failJob(Entry &entry, OccurrenceRef occurrence, const TickTime &time)
+/** Workers that may crash through a task before its job fails. */
+constexpr std::uint32_t maxCrashes = 3;
+/** The same when the task was the only suspect of the last crash. */
+constexpr std::uint32_t maxCrashesAlone = 2;
+
+/**
+ * Fails a job after a task or gang of one of its occurrences has reached the maximum number of failed runs or crashes.
+ * @param cause Reason, for the log.
+ */
+void failJob(Entry &entry, OccurrenceRef occurrence, std::string_view cause, const TickTime &time)
 {
     auto &state = entry.work.occurrences.get<OccurrenceWork>(occurrence);
     if (state.closed) {
@@ -25,11 +35,14 @@
     logEvent(entry,
              EventKind::JobFailed,
              entry.jobs.table.get<JobIdentity>(job).id,
-             "max_attempts={}",
+             "cause=\"{}\" max_attempts={}",
+             cause,
              entry.jobs.table.get<JobPlan>(job).policy.maxAttempts);
     closeJob(entry, job, time);
 }
 
+constexpr std::string_view failedRunsCause("failed runs");
+
 /** Releases the capacity of a run and removes it from the tables. */
 void eraseRun(Entry &entry, RunRef run)
 {
@@ -104,7 +117,7 @@
     }
     auto &state = entry.work.tasks.get<TaskState>(task);
     if (++state.failures >= policyOf(entry, group).maxAttempts) {
-        failJob(entry, occurrenceOf(entry.work, task), time);
+        failJob(entry, occurrenceOf(entry.work, task), failedRunsCause, time);
     }
 }
 
@@ -135,7 +148,7 @@
         entry.work.tasks.get<TaskState>(it).failures = state.failures;
     }
     if (state.failures >= policyOf(entry, group).maxAttempts && !stepOf(entry, group).endless) {
-        failJob(entry, entry.work.groups.get<GroupIdentity>(group).occurrence, time);
+        failJob(entry, entry.work.groups.get<GroupIdentity>(group).occurrence, failedRunsCause, time);
     }
 }
 
@@ -233,6 +246,30 @@
     }
 }
 
+void countCrash(Entry &entry, TaskRef task, RunNumber number, bool isAlone, const TickTime &time)
+{
+    auto &work = entry.work;
+    const auto group = work.tasks.get<TaskIdentity>(task).group;
+    const auto occurrence = occurrenceOf(work, task);
+    const bool isGang = stepOf(entry, group).gang;
+    auto &state = work.tasks.get<TaskState>(task);
+    auto &groupState = work.groups.get<GroupState>(group);
+    const bool isCounted = isGang && std::exchange(groupState.crashedRun, number) == number;
+    if (state.phase == TaskPhase::Done || work.occurrences.get<OccurrenceWork>(occurrence).closed || isCounted) {
+        return;
+    }
+    const auto crashes = ++state.crashes;
+    if (isGang) {
+        for (const auto it : groupState.tasks) {
+            work.tasks.get<TaskState>(it).crashes = crashes;
+        }
+    }
+    markDirty(work, occurrence);
+    if (crashes >= (isAlone ? maxCrashesAlone : maxCrashes)) {
+        failJob(entry, occurrence, "crashed workers", time);
+    }
+}
+
 void endUnknownRun(Entry &entry, const TaskName &name, const TickTime &time)
 {
     const auto task = findTask(entry, name);
@@ -283,6 +320,7 @@
 
 void endAllRuns(Entry &entry, WorkerRef worker, std::string_view cause, const TickTime &time)
 {
+    recordCrash(entry, worker, time);
     const auto runs = entry.workers.table.get<WorkerLoad>(worker).runs;
     for (const auto run : runs) {
         if (!entry.work.runs.contains(run)) {
--- a/src/dispatch/work_func.h
+++ b/src/dispatch/work_func.h
@@ -50,6 +50,14 @@
  */
 void endRun(Entry &entry, RunRef run, RunEnd how, const std::string &checkpoint, const TickTime &time);
 
+/**
+ * Counts a crash of a worker for a task whose run probably caused it, once for all members of a gang. Fails the job at
+ * the maximum, also of endless tasks.
+ * @param number Number of the run.
+ * @param isAlone No other task is suspected of this crash, so that fewer crashes suffice.
+ */
+void countCrash(Entry &entry, TaskRef task, RunNumber number, bool isAlone, const TickTime &time);
+
 /**
  * Completes the task of a run that a worker reported as done but that is not in the tables, because this owner has
  * discarded it or a previous owner started it. Does nothing for an endless task or a closed occurrence.
@@ -60,7 +68,7 @@
 void discardRun(Entry &entry, RunRef run, const TickTime &time);
 
 /**
- * Ends all runs of a worker that certainly runs none of them any more.
+ * Ends all runs of a worker that certainly runs none of them any more, as it has crashed or was replaced.
  * @param cause Reason, for the log.
  */
 void endAllRuns(Entry &entry, WorkerRef worker, std::string_view cause, const TickTime &time);
--- a/src/dispatch/worker_base.h
+++ b/src/dispatch/worker_base.h
@@ -32,6 +32,7 @@
     std::uint64_t reservedInPass = 0; ///< Number of the pass; reservations of earlier passes are void.
     std::uint32_t latencyBoundRuns = 0; ///< Runs with a bound on their response times.
     std::uint32_t bestEffortRuns = 0; ///< Runs that use only idle processor time.
+    MonotonicTime placedAt{}; ///< When a run was last placed on the worker.
     std::vector<RunRef> runs;
 };
 
@@ -42,6 +43,17 @@
     MonotonicTime earliestRemovalAt{}; ///< While draining: the worker is not removed before this time.
     std::uint32_t failedInRow = 0; ///< Consecutive failed runs, counted up to 2; reset by a run that was done.
     MonotonicTime avoidUntil{}; ///< The worker gets no tasks before this time.
+    /** The worker gets no tasks before this time, so that a crash shows whether the task placed last was the cause. */
+    MonotonicTime trialUntil{};
+};
+
+enum class Suspicion : std::uint8_t;
+
+/** A run that may have made its worker crash. */
+struct SuspectRun {
+    TaskRef task;
+    RunNumber number = 0;
+    Suspicion suspicion{};
 };
 
 /** A reported run end that is acknowledged to its worker once it is stored in the journal. */
@@ -66,6 +78,9 @@
     std::uint64_t lastEndApplied = 0; ///< Run ends up to this sequence number have been applied.
     std::uint64_t lastEndStored = 0; ///< Run ends up to this sequence number are stored in the journal.
     std::uint64_t lastEndAcknowledged = 0; ///< Run ends up to this sequence number were acknowledged by the last poll.
+    /** Most suspected runs of the worker when its lease expired in silence; empty once it has responded. */
+    std::vector<SuspectRun> lostSuspects;
+    MonotonicTime lostAt{}; ///< When `lostSuspects` was noted.
     std::deque<PendingEnd> pendingEnds; ///< Run ends that are applied but not stored yet, by sequence number.
 };
 
--- a/tests/journal_codec_test.cpp
+++ b/tests/journal_codec_test.cpp
@@ -21,13 +21,14 @@
     task.run = *rc::gen::inRange(0, 4);
     task.worker = *rc::gen::element<std::string>("", "i-1", "i-22");
     task.checkpoint = *rc::gen::element<std::string>("", "saved");
+    task.crashes = *rc::gen::element<std::uint32_t>(0, 0, 0, 2);
     return task;
 }
 
 bool isSame(const TaskProgress &a, const TaskProgress &b)
 {
     return a.phase == b.phase && a.failures == b.failures && a.run == b.run && a.worker == b.worker
-        && a.checkpoint == b.checkpoint;
+        && a.checkpoint == b.checkpoint && a.crashes == b.crashes;
 }
 
 } // namespace
@@ -38,6 +39,7 @@
     CPPUNIT_TEST(progressRoundTrips);
     CPPUNIT_TEST(doneTaskTakesOneByte);
     CPPUNIT_TEST(compressesLongProgress);
+    CPPUNIT_TEST(storesCrashesOnlyWhereThereAreAny);
     CPPUNIT_TEST(rejectsRowsOfMissingTasksAndUnknownPhases);
     CPPUNIT_TEST(corruptedProgressDecodesOrFails);
     CPPUNIT_TEST_SUITE_END();
@@ -91,6 +93,21 @@
         CPPUNIT_ASSERT(!decodeJournalRecord("p", value.substr(0, value.size() / 2)).ok());
     }
 
+    /** Records without crashes are stored as before crashes were counted, so either version reads those of the other.
+     */
+    void storesCrashesOnlyWhereThereAreAny()
+    {
+        ProgressRecord record;
+        record.tasks.push_back({TaskPhase::Waiting, 1, 2, {}, {}, 0});
+        CPPUNIT_ASSERT(encodeJournalRecord(record)[0].value == encodeValue(columnsOf(record)));
+        record.tasks.push_back({TaskPhase::Waiting, 0, 2, {}, {}, 2});
+        const auto rows = encodeJournalRecord(record);
+        CPPUNIT_ASSERT(rows[0].value != encodeValue(columnsOf(record)));
+        const auto read = decodeJournalRecord(rows[0].key, rows[0].value);
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT(std::ranges::equal(std::get<ProgressRecord>(*read).tasks, record.tasks, isSame));
+    }
+
     void rejectsRowsOfMissingTasksAndUnknownPhases()
     {
         ProgressColumns columns;
