Send no start to a worker whose capacity has shrunk below it

What callers see: a task placed on a worker shortly before its capacity shrinks waits or goes elsewhere; before, its start was sent, or repeated, and brought the worker over its capacity.

Cause: capacity was looked at when a task is placed, not when its start order is sent, which is after the placement is stored, or later when an order is repeated.

Change: each start order, first or repeated, is checked against the capacity last listed, with all other runs that may be there, also those being stopped and those adopted from a previous owner. Without room the task is placed anew; a run that may have arrived is stopped first. Runs that are there stay.

Before, sendsNoStartThatWasPlacedBeforeTheShrink and repeatsNoStartAfterTheShrink of DispatchCapacityTest failed (capacity of the worker exceeded); now its 7 tests pass.

--- a/src/dispatch/systems/order.cpp
+++ b/src/dispatch/systems/order.cpp
@@ -161,6 +161,38 @@
     return true;
 }
 
+/**
+ * Returns true if a worker has room for a run beside all others that may be there, by the capacity last listed. Runs
+ * that are being stopped count; runs for which no start order was sent do not.
+ */
+bool hasRoom(const Entry &entry, RunRef run)
+{
+    const auto worker = entry.work.runs.get<RunIdentity>(run).worker;
+    auto used = entry.work.runs.get<RunState>(run).reservedOnWorker;
+    for (const auto other : entry.workers.table.get<WorkerLoad>(worker).runs) {
+        const auto &state = entry.work.runs.get<RunState>(other);
+        if (other != run && state.firstSentAt != MonotonicTime{}) {
+            used += state.reservedOnWorker;
+        }
+    }
+    return used.fitsInto(entry.workers.table.get<WorkerIdentity>(worker).capacity);
+}
+
+/**
+ * Sends a start order, unless the worker's capacity has shrunk since the run was placed so that it has no room. Then
+ * the task waits for another placement; a run whose start may have arrived is stopped first.
+ */
+void startIfRoom(Entry &entry, RunRef run, const TickTime &time)
+{
+    if (hasRoom(entry, run)) {
+        sendStart(entry, run, time);
+    } else if (entry.work.runs.get<RunState>(run).startsSent > 0) {
+        stopRun(entry, run, time);
+    } else {
+        discardRun(entry, run, time);
+    }
+}
+
 /** An order that is due. Stops sort first, as they free capacity, then those that have been due for longest. */
 struct DueOrder {
     bool isStart = false;
@@ -189,7 +221,7 @@
             continue; // discarded with its gang by an earlier order of the loop
         }
         if (entry.work.runs.get<RunState>(run).phase == RunPhase::Ordered) {
-            sendStart(entry, run, time);
+            startIfRoom(entry, run, time);
         } else {
             sendStop(entry, run);
         }
