Forget the crashes of a task whose run has lasted

What callers see: an endless task that was near a crash now and then, and ran for long in between, is not given up.

Cause: the count of crashes was never reset, so that two accidents in the life of an endless task could fail its job.

The types of the suspicion move into crash_type.h.

--- a/src/dispatch/crash.cpp
+++ b/src/dispatch/crash.cpp
@@ -50,13 +50,20 @@
 
 } // namespace
 
+bool isSettled(const Entry &entry, RunRef run)
+{
+    const auto worker = entry.work.runs.get<RunIdentity>(run).worker;
+    const auto confirmedAt = entry.work.runs.get<RunState>(run).confirmedAt;
+    const auto aliveAt = entry.workers.table.get<WorkerLink>(worker).lastResponseAt;
+    return confirmedAt != MonotonicTime{} && aliveAt - confirmedAt >= settledAfter;
+}
+
 Suspicion suspicionOf(const Entry &entry, RunRef run)
 {
     const auto &identity = entry.work.runs.get<RunIdentity>(run);
     const auto &state = entry.work.runs.get<RunState>(run);
     const auto aliveAt = entry.workers.table.get<WorkerLink>(identity.worker).lastResponseAt;
-    const bool isSettled = state.confirmedAt != MonotonicTime{} && aliveAt - state.confirmedAt >= settledAfter;
-    if (state.firstSentAt == MonotonicTime{} || isSettled) {
+    if (state.firstSentAt == MonotonicTime{} || isSettled(entry, run)) {
         return Suspicion::None;
     }
     const bool isRecent = state.confirmedAt == MonotonicTime{} || state.firstSentAt > aliveAt - recentPeriod;
--- a/src/dispatch/crash_func.h
+++ b/src/dispatch/crash_func.h
@@ -4,36 +4,16 @@
  */
 #pragma once
 
-#include "core/enum_table.h"
 #include "dispatch/entry_base.h"
 
 namespace flamingotally::dispatch
 {
 
-/** How likely a run made its worker crash, in ascending order. */
-enum class Suspicion : std::uint8_t {
-    None, ///< No start order was sent, or the run had been running for long.
-    Unsettled, ///< It had not been running for long.
-    UnsettledAgain, ///< The same, and its task is already suspected of an earlier crash.
-    Recent, ///< Its start was not confirmed, or was ordered shortly before the worker's last response or later.
-    RecentAgain, ///< The same, and its task is already suspected of an earlier crash.
-    End,
-};
-
-/** Name of a suspicion. */
-struct SuspicionRow {
-    Suspicion value;
-    std::string_view name;
-};
-
-constexpr EnumTable<Suspicion, SuspicionRow> suspicionTable{{
-    {Suspicion::None, "none"},
-    {Suspicion::Unsettled, "unsettled"},
-    {Suspicion::UnsettledAgain, "unsettled_again"},
-    {Suspicion::Recent, "recent"},
-    {Suspicion::RecentAgain, "recent_again"},
-}};
-static_assert(isComplete(suspicionTable));
+/**
+ * Returns true if a run had been running for long at its worker's last response, so that it would not be suspected of a
+ * crash.
+ */
+bool isSettled(const Entry &entry, RunRef run);
 
 /** Returns the suspicion against a run if its worker has crashed since the worker's last response. */
 Suspicion suspicionOf(const Entry &entry, RunRef run);
--- a/src/dispatch/work_end.cpp
+++ b/src/dispatch/work_end.cpp
@@ -121,6 +121,19 @@
     }
 }
 
+/** Forgets the crashes of which a task, or its gang, was suspected, after a run that lasted for long. */
+void clearCrashes(Entry &entry, TaskRef task)
+{
+    auto &work = entry.work;
+    const auto group = work.tasks.get<TaskIdentity>(task).group;
+    work.tasks.get<TaskState>(task).crashes = 0;
+    if (stepOf(entry, group).gang) {
+        for (const auto it : work.groups.get<GroupState>(group).tasks) {
+            work.tasks.get<TaskState>(it).crashes = 0;
+        }
+    }
+}
+
 /** Updates a task outside a gang after its run has ended. */
 void endSingle(Entry &entry, TaskRef task, RunEnd how, const TickTime &time)
 {
@@ -232,6 +245,9 @@
              identity.number,
              entry.workers.table.get<WorkerIdentity>(identity.worker).id,
              flamingotally::nameOf(runEndTable, how));
+    if (isSettled(entry, run)) {
+        clearCrashes(entry, identity.task);
+    }
     eraseRun(entry, run);
     if (!checkpoint.empty()) {
         work.tasks.get<TaskState>(identity.task).checkpoint = checkpoint;
--- a/src/dispatch/worker_base.h
+++ b/src/dispatch/worker_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/time_type.h"
+#include "dispatch/crash_type.h"
 #include "dispatch/job_type.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -47,15 +48,6 @@
     MonotonicTime trialUntil{};
 };
 
-enum class Suspicion : std::uint8_t;
-
-/** A run that may have made its worker crash. */
-struct SuspectRun {
-    TaskRef task;
-    RunNumber number = 0;
-    Suspicion suspicion{};
-};
-
 /** A reported run end that is acknowledged to its worker once it is stored in the journal. */
 struct PendingEnd {
     std::uint64_t number = 0; ///< Sequence number of the run end in the worker's report.
--- a/tests/dispatch_crash_test.cpp
+++ b/tests/dispatch_crash_test.cpp
@@ -76,6 +76,8 @@
     CPPUNIT_TEST(sparesTasksBesideSeveralDeadlyOnes);
     CPPUNIT_TEST(sparesTasksOnWorkersThatAreCutOff);
     CPPUNIT_TEST(sparesLongTasksOnWorkersThatCrashOften);
+    CPPUNIT_TEST(forgetsCrashesOfATaskThatHasRunForLong);
+    CPPUNIT_TEST(sparesTasksOfWorkersThatDrain);
     CPPUNIT_TEST(remembersCrashesWhenTheOwnerChanges);
     CPPUNIT_TEST(remembersCrashesWhenAllAreRestarted);
     CPPUNIT_TEST(countsACrashWithoutAnOwner);
@@ -262,6 +264,51 @@
         assertNoViolations(world);
     }
 
+    /** An endless task is suspected now and then, and runs for long in between. */
+    void forgetsCrashesOfATaskThatHasRunForLong()
+    {
+        DispatchWorld world(3, 3);
+        world.run(settleTime);
+        auto step = plainStep(1);
+        step.endless = true;
+        world.scripts[deadly] = soundScript(Milliseconds{600'000});
+        world.submit(0, 1, jobOf({step}));
+        for (int n = 0; n < 4; ++n) {
+            for (const auto time : {Milliseconds{1'500}, Milliseconds{15'000}}) {
+                world.run(time);
+                const auto worker = world.runningOn(deadly);
+                CPPUNIT_ASSERT(worker.has_value());
+                world.worker(*worker).restart(world.now());
+            }
+        }
+        world.run(Milliseconds{5'000});
+        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Running);
+        assertNoViolations(world);
+    }
+
+    /** Each worker is drained and back under another incarnation, as in a planned update. */
+    void sparesTasksOfWorkersThatDrain()
+    {
+        constexpr std::size_t workers = 4;
+        DispatchWorld world(3, workers);
+        world.run(settleTime);
+        world.scripts[deadly] = soundScript(Milliseconds{60'000});
+        world.submit(0, 1, jobOf({plainStep(1)}));
+        for (std::size_t n = 0; n < workers; ++n) {
+            world.run(Milliseconds{1'500});
+            const auto worker = world.runningOn(deadly);
+            CPPUNIT_ASSERT(worker.has_value());
+            world.listWorker(*worker, true);
+            world.run(Milliseconds{100});
+            world.worker(*worker).restart(world.now());
+            world.run(Milliseconds{700});
+            world.listWorker(*worker, false);
+        }
+        world.run(Milliseconds{2'000});
+        CPPUNIT_ASSERT(world.phaseAt(0, 1) == JobPhase::Running);
+        assertNoViolations(world);
+    }
+
     /** Each owner sees one crash. It is killed after the next start, long before the next crash. */
     void remembersCrashesWhenTheOwnerChanges()
     {
