Give up a task only after three crashes right after its start, or five others

What callers see: a job with a sound task that was on two workers which crashed for another cause goes on; before, it was shown as failed.

Cause: two crashes sufficed when the task was the only suspect of the second. While many workers crash for another cause, a task that was on one of them is placed on the next with nobody beside it.

Change: a crash right after the start weighs 2, another one 1, and the job fails at 5. A task that crashes each worker at once is given up after its third start; one that does so later after its fifth, two after the third crash.

--- a/src/dispatch/codec/progress_columns.cpp
+++ b/src/dispatch/codec/progress_columns.cpp
@@ -106,8 +106,8 @@
 {
     std::vector<CrashedRow> rows;
     for (std::size_t n = 0; n < record.tasks.size(); ++n) {
-        if (const auto crashes = record.tasks[n].crashes; crashes > 0) {
-            rows.push_back({static_cast<std::uint16_t>(n), crashes});
+        if (const auto weight = record.tasks[n].crashWeight; weight > 0) {
+            rows.push_back({static_cast<std::uint16_t>(n), weight});
         }
     }
     return rows;
@@ -120,7 +120,7 @@
         return record;
     }
     const bool isValid = applyRows(
-        *record, columns.crashed, [](TaskProgress &task, const CrashedRow &row) { task.crashes = row.crashes; });
+        *record, columns.crashed, [](TaskProgress &task, const CrashedRow &row) { task.crashWeight = row.weight; });
     if (!isValid) {
         return missingTaskError();
     }
--- a/src/dispatch/codec/progress_columns.h
+++ b/src/dispatch/codec/progress_columns.h
@@ -56,15 +56,15 @@
     }
 };
 
-/** A task through which workers have crashed. */
+/** A task that is suspected of crashes. */
 struct CrashedRow {
     std::uint16_t task = 0; ///< Index of the task in the record.
-    std::uint32_t crashes = 0; ///< Number of these workers.
+    std::uint32_t weight = 0; ///< Sum of the weights of these crashes.
 
     template<typename Visitor>
     void fields(Visitor &&visitor)
     {
-        visitor(task, crashes);
+        visitor(task, weight);
     }
 };
 
--- a/src/dispatch/crash.cpp
+++ b/src/dispatch/crash.cpp
@@ -17,6 +17,14 @@
 constexpr Milliseconds recentPeriod{200};
 constexpr Milliseconds verdictPeriod{15'000}; ///< How long a silent worker is polled for whether it has crashed.
 
+/** Returns how much a crash counts against the task of a suspected run. */
+std::uint32_t weightOf(Suspicion suspicion)
+{
+    constexpr std::uint32_t unsettledWeight = 1;
+    constexpr std::uint32_t recentWeight = 2;
+    return suspicion >= Suspicion::Recent ? recentWeight : unsettledWeight;
+}
+
 /** Returns the most suspected runs of a worker; none when all have been running for long. */
 std::vector<SuspectRun> suspectsOn(const Entry &entry, WorkerRef worker)
 {
@@ -37,17 +45,6 @@
     return suspects;
 }
 
-/** Returns true if the suspects are a single task, or members of one gang. */
-bool isOneSuspect(const Entry &entry, const std::vector<SuspectRun> &suspects)
-{
-    const auto groupOf = [&](const SuspectRun &it) {
-        return entry.work.tasks.get<TaskIdentity>(it.task).group;
-    };
-    return suspects.size() == 1 || std::ranges::all_of(suspects, [&](const SuspectRun &it) {
-               return groupOf(it) == groupOf(suspects.front()) && stepOf(entry, groupOf(it)).gang;
-           });
-}
-
 } // namespace
 
 bool isSettled(const Entry &entry, RunRef run)
@@ -67,7 +64,7 @@
         return Suspicion::None;
     }
     const bool isRecent = state.confirmedAt == MonotonicTime{} || state.firstSentAt > aliveAt - recentPeriod;
-    const bool isAgain = entry.work.tasks.get<TaskState>(identity.task).crashes > 0;
+    const bool isAgain = entry.work.tasks.get<TaskState>(identity.task).crashWeight > 0;
     if (isRecent) {
         return isAgain ? Suspicion::RecentAgain : Suspicion::Recent;
     }
@@ -84,22 +81,21 @@
     if (entry.workers.table.get<WorkerHealth>(worker).draining) {
         return;
     }
-    const bool isAlone = isOneSuspect(entry, suspects);
     for (const auto &it : suspects) {
         const auto name = nameOf(entry, it.task);
         logEvent(entry,
                  EventKind::TaskSuspected,
                  name.job,
-                 "task={}.{}.{} run={} worker={} crashes_before={} suspicion={} suspects={}",
+                 "task={}.{}.{} run={} worker={} weight_before={} suspicion={} suspects={}",
                  name.occurrence,
                  name.step,
                  name.index,
                  it.number,
                  entry.workers.table.get<WorkerIdentity>(worker).id,
-                 entry.work.tasks.get<TaskState>(it.task).crashes,
+                 entry.work.tasks.get<TaskState>(it.task).crashWeight,
                  flamingotally::nameOf(suspicionTable, it.suspicion),
                  suspects.size());
-        countCrash(entry, it.task, it.number, isAlone, time);
+        countCrash(entry, it.task, it.number, weightOf(it.suspicion), time);
     }
 }
 
--- a/src/dispatch/journal_type.h
+++ b/src/dispatch/journal_type.h
@@ -61,7 +61,8 @@
     RunNumber run = 0; ///< Number of the last run.
     std::string worker; ///< Id of the worker of the last run; empty unless the task is placed.
     std::string checkpoint; ///< Last checkpoint, from which the next run resumes.
-    std::uint32_t crashes = 0; ///< Number of workers that crashed under its runs; for a member of a gang, the gang's.
+    std::uint32_t crashWeight =
+        0; ///< Weighted crashes of which its runs are suspected; for a gang's member, the gang's.
 };
 
 /** Progress of one occurrence of a job. Only the owner writes it. */
--- a/src/dispatch/policy/placer.h
+++ b/src/dispatch/policy/placer.h
@@ -297,7 +297,7 @@
         it.isAvoided = task.avoidedWorker == worker;
         it.wouldInterfere = (m_step.bestEffort && load.latencyBoundRuns > 0)
             || (m_step.targetResponse.count() > 0 && load.bestEffortRuns > 0);
-        it.wouldConfuseTrial = task.crashes > 0 && m_time.now - load.placedAt < quietPeriod;
+        it.wouldConfuseTrial = task.crashWeight > 0 && m_time.now - load.placedAt < quietPeriod;
         it.failedInRow = m_entry.workers.table.get<WorkerHealth>(worker).failedInRow;
         return it;
     }
--- a/src/dispatch/work.cpp
+++ b/src/dispatch/work.cpp
@@ -52,7 +52,7 @@
             const auto &row = rows[n++];
             auto &state = work.tasks.get<TaskState>(task);
             state.failures = row.failures;
-            state.crashes = row.crashes;
+            state.crashWeight = row.crashWeight;
             state.lastRun = row.run;
             state.checkpoint = row.checkpoint;
             auto &groupState = work.groups.get<GroupState>(group);
@@ -259,7 +259,7 @@
     load.bestEffortRuns += step.bestEffort ? 1 : 0;
     load.placedAt = time.now;
     load.runs.push_back(ref);
-    if (state.crashes > 0) {
+    if (state.crashWeight > 0) {
         entry.workers.table.get<WorkerHealth>(worker).trialUntil = time.now + trialPeriod;
     }
     const auto job = work.groups.get<GroupIdentity>(group).job;
@@ -323,7 +323,7 @@
     for (const auto group : state.groups) {
         for (const auto task : work.groups.get<GroupState>(group).tasks) {
             const auto &it = work.tasks.get<TaskState>(task);
-            TaskProgress row{it.phase, it.failures, it.lastRun, {}, it.checkpoint, it.crashes};
+            TaskProgress row{it.phase, it.failures, it.lastRun, {}, it.checkpoint, it.crashWeight};
             if (it.run.isSet() && it.phase == TaskPhase::Placed) {
                 const auto &run = work.runs.get<RunIdentity>(it.run);
                 row.worker = entry.workers.table.get<WorkerIdentity>(run.worker).id;
--- a/src/dispatch/work_end.cpp
+++ b/src/dispatch/work_end.cpp
@@ -14,10 +14,11 @@
 namespace
 {
 
-/** Workers that may crash through a task before its job fails. */
-constexpr std::uint32_t maxCrashes = 3;
-/** The same when the task was the only suspect of the last crash. */
-constexpr std::uint32_t maxCrashesAlone = 2;
+/**
+ * Sum of the weights of crashes at which a job fails: of three that came right after the start, or five others. Fewer
+ * would fail sound tasks when many workers crash for another cause.
+ */
+constexpr std::uint32_t maxCrashWeight = 5;
 
 /**
  * Fails a job after a task or gang of one of its occurrences has reached the maximum number of failed runs or crashes.
@@ -126,10 +127,10 @@
 {
     auto &work = entry.work;
     const auto group = work.tasks.get<TaskIdentity>(task).group;
-    work.tasks.get<TaskState>(task).crashes = 0;
+    work.tasks.get<TaskState>(task).crashWeight = 0;
     if (stepOf(entry, group).gang) {
         for (const auto it : work.groups.get<GroupState>(group).tasks) {
-            work.tasks.get<TaskState>(it).crashes = 0;
+            work.tasks.get<TaskState>(it).crashWeight = 0;
         }
     }
 }
@@ -262,7 +263,7 @@
     }
 }
 
-void countCrash(Entry &entry, TaskRef task, RunNumber number, bool isAlone, const TickTime &time)
+void countCrash(Entry &entry, TaskRef task, RunNumber number, std::uint32_t weight, const TickTime &time)
 {
     auto &work = entry.work;
     const auto group = work.tasks.get<TaskIdentity>(task).group;
@@ -274,14 +275,15 @@
     if (state.phase == TaskPhase::Done || work.occurrences.get<OccurrenceWork>(occurrence).closed || isCounted) {
         return;
     }
-    const auto crashes = ++state.crashes;
+    state.crashWeight += weight;
+    const auto sum = state.crashWeight;
     if (isGang) {
         for (const auto it : groupState.tasks) {
-            work.tasks.get<TaskState>(it).crashes = crashes;
+            work.tasks.get<TaskState>(it).crashWeight = sum;
         }
     }
     markDirty(work, occurrence);
-    if (crashes >= (isAlone ? maxCrashesAlone : maxCrashes)) {
+    if (sum >= maxCrashWeight) {
         failJob(entry, occurrence, "crashed workers", time);
     }
 }
--- a/src/dispatch/work_func.h
+++ b/src/dispatch/work_func.h
@@ -54,9 +54,9 @@
  * Counts a crash of a worker for a task whose run probably caused it, once for all members of a gang. Fails the job at
  * the maximum, also of endless tasks.
  * @param number Number of the run.
- * @param isAlone No other task is suspected of this crash, so that fewer crashes suffice.
+ * @param weight How much the crash counts.
  */
-void countCrash(Entry &entry, TaskRef task, RunNumber number, bool isAlone, const TickTime &time);
+void countCrash(Entry &entry, TaskRef task, RunNumber number, std::uint32_t weight, const TickTime &time);
 
 /**
  * Completes the task of a run that a worker reported as done but that is not in the tables, because this owner has
