--- a/src/dispatch/policy/worker_evaluation.h
+++ b/src/dispatch/policy/worker_evaluation.h
@@ -66,9 +66,18 @@
         return workersInPass(m_entry, m_policy.pool);
     }
 
+    /** Returns the time of the pass. */
+    MonotonicTime now() const
+    {
+        return m_time.now;
+    }
+
     /** Returns true if the worker has free and unreserved capacity for one more task. */
     bool hasCapacity(WorkerRef worker) const
     {
+        if (m_time.now < m_entry.workers.table.get<WorkerHealth>(worker).trialUntil) {
+            return false;
+        }
         const auto &capacity = m_entry.workers.table.get<WorkerIdentity>(worker).capacity;
         return m_demand.fitsInto(capacity - m_entry.workers.table.get<WorkerLoad>(worker).used - reservedOn(worker));
     }
--- a/src/dispatch/policy/worker_search.h
+++ b/src/dispatch/policy/worker_search.h
@@ -93,10 +93,14 @@
         it.isAvoided = task.avoidedWorker == worker;
         it.wouldInterfere = (m_evaluation.step().bestEffort && load.latencyBoundRuns > 0)
             || (m_evaluation.step().targetResponse.count() > 0 && load.bestEffortRuns > 0);
+        it.wouldConfuseTrial = task.crashWeight > 0 && m_evaluation.now() - load.placedAt < quietPeriod;
         it.failedInRow = m_entry.workers.table.get<WorkerHealth>(worker).failedInRow;
         return it;
     }
 
+    /** A worker on which nothing was placed for this long is preferred for a task suspected of a crash. */
+    static constexpr Milliseconds quietPeriod{500};
+
     Entry &m_entry;
     const WorkerEvaluation &m_evaluation;
     std::vector<WorkerRef> m_candidates; ///< Workers that could take a task when findCandidates() ran.
--- a/src/dispatch/work_end.cpp
+++ b/src/dispatch/work_end.cpp
@@ -1,10 +1,12 @@
 #include "dispatch/work_func.h"
 
+#include "dispatch/crash_func.h"
 #include "dispatch/entry_func.h"
 #include "dispatch/table/dispatch_table.h"
 #include "dispatch/work_step.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace flamingotally::dispatch
 {
@@ -12,8 +14,17 @@
 namespace
 {
 
-/** Fails a job after a task or gang of one of its occurrences has reached the maximum number of failed runs. */
-void failJob(Entry &entry, OccurrenceRef occurrence, const TickTime &time)
+/**
+ * Sum of the weights of crashes at which a job fails: of three that came right after the start, or five others. Fewer
+ * would fail sound tasks when many workers crash for another cause.
+ */
+constexpr std::uint32_t maxCrashWeight = 5;
+
+/**
+ * Fails a job after a task or gang of one of its occurrences has reached the maximum number of failed runs or crashes.
+ * @param cause Reason, for the log.
+ */
+void failJob(Entry &entry, OccurrenceRef occurrence, std::string_view cause, const TickTime &time)
 {
     auto &state = entry.work.occurrences.get<OccurrenceWork>(occurrence);
     if (state.closed) {
@@ -25,11 +36,14 @@
     logEvent(entry,
              EventKind::JobFailed,
              entry.jobs.table.get<JobIdentity>(job).id,
-             "max_attempts={}",
+             "cause=\"{}\" max_attempts={}",
+             cause,
              entry.jobs.table.get<JobPlan>(job).policy.maxAttempts);
     closeJob(entry, job, time);
 }
 
+constexpr std::string_view failedRunsCause("failed runs");
+
 /** Releases the capacity of a run and removes it from the tables. */
 void eraseRun(Entry &entry, RunRef run)
 {
@@ -104,7 +118,20 @@
     }
     auto &state = entry.work.tasks.get<TaskState>(task);
     if (++state.failures >= policyOf(entry, group).maxAttempts) {
-        failJob(entry, occurrenceOf(entry.work, task), time);
+        failJob(entry, occurrenceOf(entry.work, task), failedRunsCause, time);
+    }
+}
+
+/** Forgets the crashes of which a task, or its gang, was suspected, after a run that lasted for long. */
+void clearCrashes(Entry &entry, TaskRef task)
+{
+    auto &work = entry.work;
+    const auto group = work.tasks.get<TaskIdentity>(task).group;
+    work.tasks.get<TaskState>(task).crashWeight = 0;
+    if (stepOf(entry, group).gang) {
+        for (const auto it : work.groups.get<GroupState>(group).tasks) {
+            work.tasks.get<TaskState>(it).crashWeight = 0;
+        }
     }
 }
 
@@ -135,7 +162,7 @@
         entry.work.tasks.get<TaskState>(it).failures = state.failures;
     }
     if (state.failures >= policyOf(entry, group).maxAttempts && !stepOf(entry, group).endless) {
-        failJob(entry, entry.work.groups.get<GroupIdentity>(group).occurrence, time);
+        failJob(entry, entry.work.groups.get<GroupIdentity>(group).occurrence, failedRunsCause, time);
     }
 }
 
@@ -219,6 +246,9 @@
              identity.number,
              entry.workers.table.get<WorkerIdentity>(identity.worker).id,
              flamingotally::nameOf(runEndTable, how));
+    if (isSettled(entry, run)) {
+        clearCrashes(entry, identity.task);
+    }
     eraseRun(entry, run);
     if (!checkpoint.empty()) {
         work.tasks.get<TaskState>(identity.task).checkpoint = checkpoint;
@@ -233,6 +263,31 @@
     }
 }
 
+void countCrash(Entry &entry, TaskRef task, RunNumber number, std::uint32_t weight, const TickTime &time)
+{
+    auto &work = entry.work;
+    const auto group = work.tasks.get<TaskIdentity>(task).group;
+    const auto occurrence = occurrenceOf(work, task);
+    const bool isGang = stepOf(entry, group).gang;
+    auto &state = work.tasks.get<TaskState>(task);
+    auto &groupState = work.groups.get<GroupState>(group);
+    const bool isCounted = isGang && std::exchange(groupState.crashedRun, number) == number;
+    if (state.phase == TaskPhase::Done || work.occurrences.get<OccurrenceWork>(occurrence).closed || isCounted) {
+        return;
+    }
+    state.crashWeight += weight;
+    const auto sum = state.crashWeight;
+    if (isGang) {
+        for (const auto it : groupState.tasks) {
+            work.tasks.get<TaskState>(it).crashWeight = sum;
+        }
+    }
+    markDirty(work, occurrence);
+    if (sum >= maxCrashWeight) {
+        failJob(entry, occurrence, "crashed workers", time);
+    }
+}
+
 void endUnknownRun(Entry &entry, const TaskName &name, const TickTime &time)
 {
     const auto task = findTask(entry, name);
@@ -283,6 +338,7 @@
 
 void endAllRuns(Entry &entry, WorkerRef worker, std::string_view cause, const TickTime &time)
 {
+    recordCrash(entry, worker, time);
     const auto runs = entry.workers.table.get<WorkerLoad>(worker).runs;
     for (const auto run : runs) {
         if (!entry.work.runs.contains(run)) {
--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -140,7 +140,7 @@
 
     void poll(const PollOrder &order)
     {
-        const auto n = m_world.indexOf(order.id);
+        const auto n = m_world.reachedBy(order.id, order.address);
         const auto sentAt = now();
         if (m_world.linkModes[n] == LinkMode::Cut || !isAt(n, order.address)) {
             deliverLater(order.wait + Milliseconds{800},
@@ -158,7 +158,7 @@
     /** Makes the worker answer a poll that has arrived; the response is lost after the order's time-out. */
     void executePoll(const PollOrder &order, MonotonicTime sentAt)
     {
-        const auto n = m_world.indexOf(order.id);
+        const auto n = m_world.reachedBy(order.id, order.address);
         auto &model = m_world.worker(n);
         model.advance(m_world.m_queue.now());
         const auto next = model.nextEnd();
@@ -170,11 +170,11 @@
 
     void start(const StartOrder &order)
     {
-        const auto n = m_world.indexOf(order.id);
+        const auto n = m_world.reachedBy(order.id, order.address);
         const auto linkMode = isAt(n, order.address) ? m_world.linkModes[n] : LinkMode::Cut;
         const auto executeStart = [world = &m_world, order, n] {
             world->advanceWorkers();
-            return world->worker(n).start(order, world->m_queue.now());
+            return world->executeOn(n, order);
         };
         if (linkMode != LinkMode::Up) {
             if (linkMode == LinkMode::DelaysStarts) {
@@ -199,7 +199,7 @@
 
     void stop(const StopOrder &order)
     {
-        const auto n = m_world.indexOf(order.id);
+        const auto n = m_world.reachedBy(order.id, order.address);
         const auto respond = [&](OrderResult result, Milliseconds delay) {
             respondToOrder(OrderKind::Stop, order.run, order.token, result, delay);
         };
@@ -212,7 +212,7 @@
             return;
         }
         const auto executeStop = [world = &m_world, order, n] {
-            return world->worker(n).stop(order, world->m_queue.now());
+            return world->executeOn(n, order);
         };
         if (auto &faults = m_world.stopFaults[n]; !faults.empty()) {
             const auto fault = faults.front();
@@ -316,21 +316,22 @@
     void respondToPoll(const PollOrder &order, MonotonicTime sentAt, Milliseconds delay)
     {
         m_world.m_queue.after(delay, [world = &m_world, daemon = m_daemon, incarnation = m_incarnation, order, sentAt] {
-            const auto n = world->indexOf(order.id);
+            const auto n = world->reachedBy(order.id, order.address);
             const bool isCut = world->linkModes[n] == LinkMode::Cut;
             const bool isLate =
                 world->linkBytesPerMs > 0 && MonotonicTime{world->m_queue.now()} - sentAt > order.timeout;
             if (isLate) {
-                world->worker(n).poll(order, world->m_queue.now()); // executed, though nobody hears of it
+                world->executeOn(n, order); // executed, though nobody hears of it
             }
-            if (isCut || isLate) {
+            world->worker(n).advance(world->m_queue.now());
+            if (isCut || isLate || world->worker(n).isDown(world->m_queue.now())) {
                 const auto lost = lostResponse(order, sentAt);
                 world->deliver(daemon, incarnation, Milliseconds{isCut ? 1'000 : 0}, [lost](Inbox &inbox) {
                     inbox.pollResponses.push_back(lost);
                 });
                 return;
             }
-            auto response = world->worker(n).poll(order, world->m_queue.now());
+            auto response = world->executeOn(n, order);
             response.sentAt = sentAt;
             response.receivedAt = MonotonicTime{world->m_queue.now() + messageDelay};
             world->deliver(daemon, incarnation, messageDelay, [response](Inbox &inbox) {
