Forget cancellations of jobs that were never accepted

Each cancellation of an unknown id left a record in the store, and memory in all daemons, for good; any caller could fill both. Change: they are kept for as long as a job that has ended, then daemons forget them and the owner removes the record. Evidence: DispatchCancelOrdersTest::forgetsCancellationsOfJobsThatNeverCame failed before and passes.

--- a/src/dispatch/job_base.h
+++ b/src/dispatch/job_base.h
@@ -4,7 +4,6 @@
 #include "dispatch/journal_type.h"
 
 #include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
 
 namespace flamingotally::dispatch
 {
@@ -47,7 +46,8 @@
 struct Jobs {
     JobTable table;
     absl::flat_hash_map<JobId, JobRef> byId;
-    absl::flat_hash_set<JobId> cancelledEarly; ///< Jobs that were cancelled before their acceptance was stored.
+    /** When the cancellations of jobs were read that had not been accepted before. */
+    absl::flat_hash_map<JobId, MonotonicTime> cancelledEarly;
 };
 
 /** Returns the state of a job as callers see it. */
--- a/src/dispatch/systems/read_journal.cpp
+++ b/src/dispatch/systems/read_journal.cpp
@@ -47,7 +47,7 @@
     {
         const auto it = m_entry.jobs.byId.find(record.job);
         if (it == m_entry.jobs.byId.end()) {
-            m_entry.jobs.cancelledEarly.insert(record.job);
+            m_entry.jobs.cancelledEarly.try_emplace(record.job, m_time.now);
             return;
         }
         auto &state = m_entry.jobs.table.get<JobState>(it->second);
--- a/src/dispatch/systems/retention.cpp
+++ b/src/dispatch/systems/retention.cpp
@@ -4,6 +4,23 @@
 namespace flamingotally::dispatch
 {
 
+namespace
+{
+
+/** Forgets cancellations of jobs that were never accepted: the callers have long given up on submitting these jobs. */
+void forgetEarlyCancellations(Entry &entry, const TickTime &time)
+{
+    absl::erase_if(entry.jobs.cancelledEarly, [&](const auto &it) {
+        const bool isOld = time.now - it.second >= entry.settings.jobRetention;
+        if (isOld && entry.isOwner()) {
+            queueRecord(entry, JournalWriter::Owner, RemovedRecord{it.first, 0});
+        }
+        return isOld;
+    });
+}
+
+} // namespace
+
 void retentionSystem(Entry &entry, const TickTime &time)
 {
     constexpr Milliseconds scanInterval{5'000}; // between two searches for jobs to remove
@@ -11,6 +28,7 @@
         return;
     }
     entry.nextRetentionScanAt = time.now + scanInterval;
+    forgetEarlyCancellations(entry, time);
     entry.jobs.table.forEach([&](JobRef job) {
         const auto endedAt = entry.jobs.table.get<JobState>(job).endedAt;
         if (endedAt == MonotonicTime{} || time.now - endedAt < entry.settings.jobRetention) {
--- a/tests/dispatch_cancel_orders_test.cpp
+++ b/tests/dispatch_cancel_orders_test.cpp
@@ -114,6 +114,7 @@
     CPPUNIT_TEST(remembersACancelledJobUntilItsRunsHaveEnded);
     CPPUNIT_TEST(storesACancellationThatTheStoreRefusedAtFirst);
     CPPUNIT_TEST(startsNothingOfAJobThatWasCancelledBeforeItsAcceptance);
+    CPPUNIT_TEST(forgetsCancellationsOfJobsThatNeverCame);
     CPPUNIT_TEST(alwaysHasAnOwnerAmongSlowHosts);
     CPPUNIT_TEST_SUITE_END();
 
@@ -358,6 +359,26 @@
         CPPUNIT_ASSERT(world.phaseAt(other, 1) == JobPhase::Cancelled);
     }
 
+    /** Each cancellation of an unknown id stayed in the store and in the memory of all daemons for good. */
+    void forgetsCancellationsOfJobsThatNeverCame()
+    {
+        CancelWorld world(3, 1);
+        const auto hasRecord = [&] {
+            return std::ranges::any_of(world.topic.newest(), [](const auto &it) { return it.key.starts_with('c'); });
+        };
+        for (std::size_t n = 0; n < 3; ++n) {
+            world.entry(n).settings.jobRetention = Milliseconds{1'000};
+        }
+        world.call(0, CallVerb::Cancel, 1);
+        world.run(Milliseconds{100});
+        CPPUNIT_ASSERT(hasRecord());
+        world.run(Milliseconds{12'000});
+        CPPUNIT_ASSERT(!hasRecord());
+        for (std::size_t n = 0; n < 3; ++n) {
+            CPPUNIT_ASSERT(world.entry(n).jobs.cancelledEarly.empty());
+        }
+    }
+
     /** Each host ceded the cell as overloaded and claimed nothing for 10 s; nobody stopped what was cancelled then. */
     void alwaysHasAnOwnerAmongSlowHosts()
     {
