--- a/tests/store_read_test.cpp
+++ b/tests/store_read_test.cpp
@@ -154,21 +154,15 @@
 
     void waitsLongerForLongRecordsOnly()
     {
-        platform::StoreRead lost;
-        platform::StoreRead done;
-        done.result = platform::StoreResult::Done;
+        constexpr std::size_t shortRecord = 10'000;
+        constexpr std::size_t longRecord = 300'000;
         platform::ReadMargin margin;
         const auto shortest = margin.value();
-        done.records = {{0, "config", std::string(10'000, 'x')}};
-        margin.adapt(done);
-        margin.adapt(lost);
+        margin.adapt(platform::StoreResult::Unknown, shortRecord);
         CPPUNIT_ASSERT(margin.value() == shortest);
-        done.records = {{1, "config", std::string(300'000, 'x')}};
-        margin.adapt(done);
-        margin.adapt(lost);
+        margin.adapt(platform::StoreResult::Unknown, longRecord);
         CPPUNIT_ASSERT(margin.value() == 2 * shortest);
-        done.records.clear();
-        margin.adapt(done);
+        margin.adapt(platform::StoreResult::Done, longRecord);
         CPPUNIT_ASSERT(margin.value() == shortest);
     }
 };
