Name the crash check and the exclusive start of suspected tasks by what they do

'Verdict', 'trial' and 'confuse' are words of ours; a worker may have crashed, a worker is exclusive for a while after the start of a suspected task, and a start there is recent. Comments stand before members that they would wrap. No behaviour changes.

--- a/src/dispatch/crash.cpp
+++ b/src/dispatch/crash.cpp
@@ -15,7 +15,7 @@
 constexpr Milliseconds settledAfter{10'000};
 /** A start order sent this long before the worker's last response, or later, is recent. */
 constexpr Milliseconds recentPeriod{200};
-constexpr Milliseconds verdictPeriod{15'000}; ///< How long a silent worker is polled for whether it has crashed.
+constexpr Milliseconds crashCheckPeriod{15'000}; ///< How long a silent worker is polled for whether it has crashed.
 
 /** Returns how much a crash counts against the task of a suspected run. */
 std::uint32_t weightOf(Suspicion suspicion)
@@ -110,10 +110,10 @@
     link.lostAt = time.now;
 }
 
-bool awaitsVerdict(const Entry &entry, WorkerRef worker, const TickTime &time)
+bool mayHaveCrashed(const Entry &entry, WorkerRef worker, const TickTime &time)
 {
     const auto &link = entry.workers.table.get<WorkerLink>(worker);
-    return !link.lostSuspects.empty() && time.now - link.lostAt < verdictPeriod;
+    return !link.lostSuspects.empty() && time.now - link.lostAt < crashCheckPeriod;
 }
 
 } // namespace flamingotally::dispatch
--- a/src/dispatch/crash_func.h
+++ b/src/dispatch/crash_func.h
@@ -31,6 +31,6 @@
 void rememberSuspects(Entry &entry, WorkerRef worker, const TickTime &time);
 
 /** Returns true while a worker is to be polled because it may turn out to have crashed under noted suspects. */
-bool awaitsVerdict(const Entry &entry, WorkerRef worker, const TickTime &time);
+bool mayHaveCrashed(const Entry &entry, WorkerRef worker, const TickTime &time);
 
 } // namespace flamingotally::dispatch
--- a/src/dispatch/journal_type.h
+++ b/src/dispatch/journal_type.h
@@ -61,8 +61,8 @@
     RunNumber run = 0; ///< Number of the last run.
     std::string worker; ///< Id of the worker of the last run; empty unless the task is placed.
     std::string checkpoint; ///< Last checkpoint, from which the next run resumes.
-    std::uint32_t crashWeight =
-        0; ///< Weighted crashes of which its runs are suspected; for a gang's member, the gang's.
+    /** Weighted crashes of which its runs are suspected; for a member of a gang, that of the gang. */
+    std::uint32_t crashWeight = 0;
 };
 
 /** Progress of one occurrence of a job. Only the owner writes it. */
--- a/src/dispatch/policy/worker_choice.h
+++ b/src/dispatch/policy/worker_choice.h
@@ -15,7 +15,7 @@
     bool isNearData = false; ///< The worker is in the rack of the task's data, or no such rack is specified.
     bool isAvoided = false; ///< The task's last failed or stalled run was on this worker.
     bool wouldInterfere = false; ///< The task would put best-effort and latency-bound runs on the same worker.
-    bool wouldConfuseTrial = false; ///< The task is suspected of a crash, and another one has just been placed there.
+    bool hasRecentStart = false; ///< The task is suspected of a crash, and a task has just been placed on the worker.
     std::uint32_t failedInRow = 0; ///< Consecutive failed runs on the worker.
     std::uint32_t sameGroup = 0; ///< Number of tasks of the group on the worker.
 };
@@ -37,13 +37,13 @@
     static double score(const Candidate &it)
     {
         constexpr double avoidedPenalty = 1'000;
-        constexpr double confusionPenalty = 200;
+        constexpr double recentStartPenalty = 200;
         constexpr double interferencePenalty = 100;
         constexpr double farPenalty = 50;
         constexpr double failurePenalty = 5;
         double score = -failurePenalty * it.failedInRow;
         score -= it.isAvoided ? avoidedPenalty : 0;
-        score -= it.wouldConfuseTrial ? confusionPenalty : 0;
+        score -= it.hasRecentStart ? recentStartPenalty : 0;
         score -= it.wouldInterfere ? interferencePenalty : 0;
         score -= it.isNearData ? 0 : farPenalty;
         const auto part = [](std::int64_t free, std::int64_t all) {
--- a/src/dispatch/policy/worker_evaluation.h
+++ b/src/dispatch/policy/worker_evaluation.h
@@ -75,7 +75,7 @@
     /** Returns true if the worker has free and unreserved capacity for one more task. */
     bool hasCapacity(WorkerRef worker) const
     {
-        if (m_time.now < m_entry.workers.table.get<WorkerHealth>(worker).trialUntil) {
+        if (m_time.now < m_entry.workers.table.get<WorkerHealth>(worker).exclusiveUntil) {
             return false;
         }
         const auto &capacity = m_entry.workers.table.get<WorkerIdentity>(worker).capacity;
--- a/src/dispatch/policy/worker_search.h
+++ b/src/dispatch/policy/worker_search.h
@@ -93,7 +93,7 @@
         it.isAvoided = task.avoidedWorker == worker;
         it.wouldInterfere = (m_evaluation.step().bestEffort && load.latencyBoundRuns > 0)
             || (m_evaluation.step().targetResponse.count() > 0 && load.bestEffortRuns > 0);
-        it.wouldConfuseTrial = task.crashWeight > 0 && m_evaluation.now() - load.placedAt < quietPeriod;
+        it.hasRecentStart = task.crashWeight > 0 && m_evaluation.now() - load.placedAt < quietPeriod;
         it.failedInRow = m_entry.workers.table.get<WorkerHealth>(worker).failedInRow;
         return it;
     }
--- a/src/dispatch/systems/order.cpp
+++ b/src/dispatch/systems/order.cpp
@@ -20,8 +20,7 @@
  * worker responds to every poll immediately, so polls without a pause would follow each other without end.
  */
 constexpr Milliseconds pendingEndsPollPause{300};
-/** Pause before the next poll of a worker whose only runs are stray; the poll shows whether their stop orders arrived.
- */
+/** Pause before the next poll of a worker whose only runs are stray, as their stop orders may have been lost. */
 constexpr Milliseconds strayRunPollPause{300};
 constexpr Milliseconds ticketPause{20}; ///< Pause before the next check whether a placed run's ticket has been renewed.
 /** Runs that save checkpoints and endless runs are stopped this long before their worker may be removed. */
--- a/src/dispatch/systems/worker_list.cpp
+++ b/src/dispatch/systems/worker_list.cpp
@@ -59,13 +59,13 @@
     });
 }
 
-/** Removes the workers that are not listed, have no runs and no run ends to be stored, and await no verdict. */
+/** Removes the workers that are not listed, have no runs and no run ends to be stored, and need no crash check. */
 void eraseUnlisted(Entry &entry, const TickTime &time)
 {
     entry.workers.table.forEach([&](WorkerRef worker) {
         const bool isNeeded = entry.workers.table.get<WorkerHealth>(worker).listed
             || !entry.workers.table.get<WorkerLoad>(worker).runs.empty()
-            || !entry.workers.table.get<WorkerLink>(worker).pendingEnds.empty() || awaitsVerdict(entry, worker, time);
+            || !entry.workers.table.get<WorkerLink>(worker).pendingEnds.empty() || mayHaveCrashed(entry, worker, time);
         if (!isNeeded) {
             entry.workers.byId.erase(entry.workers.table.get<WorkerIdentity>(worker).id);
             entry.workers.table.erase(worker);
--- a/src/dispatch/work.cpp
+++ b/src/dispatch/work.cpp
@@ -12,7 +12,7 @@
 {
 
 /** How long a worker gets no other tasks after the start of one that is suspected of a crash. */
-constexpr Milliseconds trialPeriod{500};
+constexpr Milliseconds exclusivePeriod{500};
 
 /** Inserts the tasks of a group. */
 void makeTasks(Work &work, GroupRef group, std::uint32_t count)
@@ -268,7 +268,7 @@
     load.placedAt = time.now;
     load.runs.push_back(ref);
     if (state.crashWeight > 0) {
-        entry.workers.table.get<WorkerHealth>(worker).trialUntil = time.now + trialPeriod;
+        entry.workers.table.get<WorkerHealth>(worker).exclusiveUntil = time.now + exclusivePeriod;
     }
     const auto job = work.groups.get<GroupIdentity>(group).job;
     work.teamUse[entry.jobs.table.get<JobIdentity>(job).team] += run.chargedToTeam;
--- a/src/dispatch/work_base.h
+++ b/src/dispatch/work_base.h
@@ -58,8 +58,8 @@
     std::uint32_t done = 0; ///< Number of tasks that are done.
     std::uint32_t failures = 0; ///< For a gang: number of attempts of which at least one run failed.
     RunNumber failedRun = 0; ///< For a gang: number of the last run that was counted in `failures`.
-    RunNumber crashedRun =
-        0; ///< For a gang: number of the last run that was counted in the `crashWeight` of its members.
+    /** For a gang: number of the last run that was counted in the `crashWeight` of its members. */
+    RunNumber crashedRun = 0;
     MonotonicTime openedAt{}; ///< When the group was opened; zero before.
     std::vector<TaskRef> tasks; ///< By index.
 };
@@ -95,8 +95,8 @@
 struct TaskState {
     TaskPhase phase = TaskPhase::Waiting;
     std::uint32_t failures = 0; ///< Number of failed runs; for a member of a gang, that of the gang.
-    std::uint32_t crashWeight =
-        0; ///< Weighted crashes of which its runs are suspected; for a gang's member, the gang's.
+    /** Weighted crashes of which its runs are suspected; for a member of a gang, that of the gang. */
+    std::uint32_t crashWeight = 0;
     RunNumber lastRun = 0; ///< Number of the last run, or a higher number after which the next run is numbered.
     std::string checkpoint; ///< Last checkpoint; empty for none.
     RunRef run; ///< The current run; unset when the task has none.
--- a/src/dispatch/worker_base.h
+++ b/src/dispatch/worker_base.h
@@ -45,7 +45,7 @@
     std::uint32_t failedInRow = 0; ///< Consecutive failed runs, counted up to 2; reset by a run that was done.
     MonotonicTime avoidUntil{}; ///< The worker gets no tasks before this time.
     /** The worker gets no tasks before this time, so that a crash shows whether the task placed last was the cause. */
-    MonotonicTime trialUntil{};
+    MonotonicTime exclusiveUntil{};
 };
 
 /** A reported run end that is acknowledged to its worker once it is stored in the journal. */
