Release ownership later than starts stop

What callers saw: nothing yet; found by review.

Evidence: DispatchStaleOwnerTest::keepsOwnershipAfterOneLostReadOfASlowStore fails with the one limit of 2 s and passes.

--- a/src/dispatch/entry.cpp
+++ b/src/dispatch/entry.cpp
@@ -10,14 +10,25 @@
 namespace
 {
 
-constexpr Milliseconds journalAgeLimit{2'000}; ///< An older view of the journal may lack cancellations.
-constexpr Milliseconds workerListAgeLimit{3'000}; ///< An older list may lack workers that drain or have shrunk.
-/** Starts need a newer list: a worker gets none from 2 s on after it has reported that it drains. */
-constexpr Milliseconds workerListStartLimit{1'800};
-constexpr Milliseconds configAgeLimit{4'000}; ///< An older view of the configuration may lack domains that are out.
+/** Maximum ages of an owner's views. Older ones may lack the newest changes of the kind that is named. */
+struct ViewAgeLimits {
+    Milliseconds journal; ///< Cancellations.
+    Milliseconds workers; ///< Workers that drain, have left or have shrunk.
+    Milliseconds config; ///< Domains that are out of service.
+};
+
+constexpr ViewAgeLimits startLimits{Milliseconds{2'000}, Milliseconds{1'800}, Milliseconds{4'000}};
+/** An owner with older views releases the cell. Longer, so that one lost read of a slow store is no reason. */
+constexpr ViewAgeLimits ownerLimits{Milliseconds{2'400}, Milliseconds{3'000}, Milliseconds{4'000}};
 /** Added to the leases of previous owners, for slow clocks of workers and late ticks. */
 constexpr Milliseconds leaseMargin{400};
 
+bool areViewsWithin(const ViewAgeLimits &limits, const Entry &entry, const TickTime &time)
+{
+    return time.now - entry.journal.asOf < limits.journal && time.now - entry.workers.asOf < limits.workers
+        && time.now - entry.config.asOf < limits.config;
+}
+
 } // namespace
 
 std::uint32_t processorMilli(const EntrySettings &settings)
@@ -46,19 +57,17 @@
 
 bool hasFreshConfig(const Entry &entry, const TickTime &time)
 {
-    return time.now - entry.config.asOf < configAgeLimit;
+    return time.now - entry.config.asOf < ownerLimits.config;
 }
 
 bool hasFreshViews(const Entry &entry, const TickTime &time)
 {
-    return time.now - entry.journal.asOf < journalAgeLimit && time.now - entry.workers.asOf < workerListAgeLimit
-        && hasFreshConfig(entry, time);
+    return areViewsWithin(ownerLimits, entry, time);
 }
 
 bool mayStart(const Entry &entry, const TickTime &time)
 {
-    return isCertainOwner(entry, time) && hasFreshViews(entry, time)
-        && time.now - entry.workers.asOf < workerListStartLimit;
+    return isCertainOwner(entry, time) && areViewsWithin(startLimits, entry, time);
 }
 
 bool isLinkInDoubt(const Entry &entry, const TickTime &time)
--- a/src/dispatch/entry_func.h
+++ b/src/dispatch/entry_func.h
@@ -38,13 +38,14 @@
 bool hasFreshConfig(const Entry &entry, const TickTime &time);
 
 /**
- * Returns true if this owner's views of the journal, the list of workers and the configuration are recent, so that they
- * contain recent cancellations, departures and evacuations.
+ * Returns true if this owner's views of the journal, the list of workers and the configuration are recent enough to go
+ * on owning the cell: they contain recent cancellations, departures and evacuations.
  */
 bool hasFreshViews(const Entry &entry, const TickTime &time);
 
 /**
- * Returns true if runs may be placed and started: this daemon certainly owns the cell and has fresh views.
+ * Returns true if runs may be placed and started: this daemon certainly owns the cell and has views that are newer
+ * still than those of hasFreshViews().
  */
 bool mayStart(const Entry &entry, const TickTime &time);
 
--- a/tests/dispatch_stale_owner_test.cpp
+++ b/tests/dispatch_stale_owner_test.cpp
@@ -1,4 +1,5 @@
 /** @file dispatch_stale_owner_test.cpp Tests of owners whose views are old, and of when they release ownership. */
+#include "dispatch/entry_func.h"
 #include "dispatch_fixture.h"
 
 using namespace flamingotally;
@@ -47,6 +48,7 @@
     CPPUNIT_TEST(stopsARunThatBeginsInTheNextLifeOfAWorkerThatAcceptedItsStop);
     CPPUNIT_TEST(startsNoRunThatWaitedForATicketWhileItsWorkerBeganToDrain);
     CPPUNIT_TEST(keepsRunsOfAWorkerThatIsSilentRightAfterItsFirstReport);
+    CPPUNIT_TEST(keepsOwnershipAfterOneLostReadOfASlowStore);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -311,6 +313,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({1, 0, 0, 0}));
         assertNoViolations(world);
     }
+
+    /** With a store that responds after 240 ms, one lost read makes a view of the journal 2.1 s old. */
+    void keepsOwnershipAfterOneLostReadOfASlowStore()
+    {
+        constexpr Milliseconds age{2'115};
+        Entry entry;
+        entry.ownership.phase = OwnerPhase::Owner;
+        const TickTime time{MonotonicTime{Milliseconds{60'000}}, {}};
+        entry.ownership.storedBatchSentAt = time.now;
+        entry.workers.asOf = time.now;
+        entry.config.asOf = time.now;
+        entry.journal.asOf = time.now - age;
+        CPPUNIT_ASSERT(!mayStart(entry, time));
+        CPPUNIT_ASSERT(hasFreshViews(entry, time));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchStaleOwnerTest);
