Wait without ticks while the claim is left to others

What operators saw: nothing yet; found by reading the diff. A daemon that leaves the claim to others, and whose owner is silent, ran a tick each millisecond until its pause ended (up to 10 s). Change: it asks for one only while that time is to come. Evidence: DispatchCancelOrdersTest::waitsWithoutTicksWhileItLeavesTheClaimToOthers failed before and passes.

--- a/src/dispatch/systems/ownership.cpp
+++ b/src/dispatch/systems/ownership.cpp
@@ -89,8 +89,7 @@
     return it != entry.ownership.daemons.end() && it->second.incarnation > newest.incarnation;
 }
 
-/** Returns true if this daemon leaves the claim to others: it has released ownership, and they still have time to
- * claim. */
+/** Returns true if this daemon, which has lost or released ownership, still leaves the next claim to others. */
 bool isBackingOff(Entry &entry, const TickTime &time)
 {
     const auto &ownership = entry.ownership;
@@ -98,8 +97,11 @@
         return false;
     }
     const auto unclaimedAt = ownership.ownerWroteAt + unclaimedLimit;
-    entry.wakeBy(std::max(time.now, unclaimedAt));
-    return !hasOwnerStopped(entry) || time.now < unclaimedAt;
+    if (hasOwnerStopped(entry) && time.now < unclaimedAt) {
+        entry.wakeBy(unclaimedAt);
+        return true;
+    }
+    return !hasOwnerStopped(entry);
 }
 
 /** Returns true if the journal shows no owner and it is this daemon's turn to claim. */
--- a/tests/dispatch_cancel_orders_test.cpp
+++ b/tests/dispatch_cancel_orders_test.cpp
@@ -116,6 +116,7 @@
     CPPUNIT_TEST(startsNothingOfAJobThatWasCancelledBeforeItsAcceptance);
     CPPUNIT_TEST(forgetsCancellationsOfJobsThatNeverCame);
     CPPUNIT_TEST(alwaysHasAnOwnerAmongSlowHosts);
+    CPPUNIT_TEST(waitsWithoutTicksWhileItLeavesTheClaimToOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -397,6 +398,20 @@
             }
         }
     }
+
+    /** A daemon that left the claim to others ran a tick each millisecond while a silent owner was not replaced. */
+    void waitsWithoutTicksWhileItLeavesTheClaimToOthers()
+    {
+        constexpr std::uint64_t ticksInThreeSeconds = 300;
+        CancelWorld world(2, 1);
+        const auto follower = world.follower();
+        auto &entry = world.entry(follower);
+        entry.ownership.backoffUntil = MonotonicTime{world.now() + Milliseconds{60'000}};
+        world.kill(world.owner().value());
+        const auto ticksBefore = entry.counters.ticks;
+        world.run(Milliseconds{3'000});
+        CPPUNIT_ASSERT(entry.counters.ticks - ticksBefore < ticksInThreeSeconds);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchCancelOrdersTest);
