Give reads of the store time by the length of its records

Cause: doubling the time after each read without a response gave up the first reads all the same, and each of those took its part of what the store reads out once more. Change: a read has 0.5 s and 1 s more for each 600 KB of the longest record that was read, 2 s at most. No state by topic. waitsLongerForLongRecordsOnly now shows by a late server what ReadMargin's numbers showed before: a read that is 1.2 s late arrives after a record of 900 KB, and is given up after one of 10 KB.

--- a/tests/store_read_test.cpp
+++ b/tests/store_read_test.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t pieceBytes = 16 * 1024; ///< Sent at once.
 constexpr Milliseconds piecePause{100};
+constexpr std::size_t longRecordBytes = 160 * 1024;
 
 /** Answers one request after the other on one connection; the response arrives in pieces, as over a narrow link. */
 class NarrowServer
@@ -64,10 +65,9 @@
     std::size_t m_sentBytes;
 };
 
-/** Returns the body of a read: a topic that ends at offset 1, and its only record, which is long. */
-std::string bodyWithLongRecord()
+/** Returns the body of a read: a topic that ends at offset 1, and its only record. */
+std::string bodyWithRecord(std::size_t valueBytes)
 {
-    constexpr std::size_t valueBytes = 160 * 1024;
     const std::string key = "config";
     std::string body(16, '\0');
     body[7] = '\1'; // end offset, big-endian
@@ -84,7 +84,7 @@
 {
     asio::io_context io;
     HttpClient client(io);
-    NarrowServer server(io, bodyWithLongRecord(), sentPieces);
+    NarrowServer server(io, bodyWithRecord(longRecordBytes), sentPieces);
     platform::StoreClient store(client, server.address(), [] { return std::vector<std::string>{}; });
     std::optional<platform::StoreRead> response;
     store.read("keyed.op", 0, Milliseconds{0}, 32, [&](const platform::StoreRead &read) { response = read; });
@@ -134,7 +134,7 @@
             };
             wasProbed = wasProbed
                 || (has("topic", "keyed.flamingotally") && has("from", "1") && has("maxKb", "1") && has("waitMs", "0"));
-            respond({.status = isRefusing ? 503U : 200U, .body = bodyWithLongRecord()});
+            respond({.status = isRefusing ? 503U : 200U, .body = bodyWithRecord(longRecordBytes)});
         });
         CPPUNIT_ASSERT(server.listen(anyLoopbackPort).ok());
         platform::StoreClient store(client, server.address(), [&] { return std::vector{server.address()}; });
@@ -152,18 +152,33 @@
         CPPUNIT_ASSERT(wasProbed);
     }
 
+    /** While all daemons of a large cell read a long configuration, the store answers a short read as late. */
     void waitsLongerForLongRecordsOnly()
     {
-        constexpr std::size_t shortRecord = 10'000;
-        constexpr std::size_t longRecord = 300'000;
-        platform::ReadMargin margin;
-        const auto shortest = margin.value();
-        margin.adapt(platform::StoreResult::Unknown, shortRecord);
-        CPPUNIT_ASSERT(margin.value() == shortest);
-        margin.adapt(platform::StoreResult::Unknown, longRecord);
-        CPPUNIT_ASSERT(margin.value() == 2 * shortest);
-        margin.adapt(platform::StoreResult::Done, longRecord);
-        CPPUNIT_ASSERT(margin.value() == shortest);
+        constexpr Milliseconds lateness{1'200};
+        for (const bool isLong : {false, true}) {
+            asio::io_context io;
+            HttpClient client(io);
+            asio::steady_timer timer(io);
+            const auto body = bodyWithRecord(isLong ? std::size_t{900'000} : std::size_t{10'000});
+            bool isLate = false;
+            HttpServer server(io, {}, [&](const HttpRequest & /*request*/, const HttpResponder &respond) {
+                timer.expires_after(isLate ? lateness : Milliseconds{0});
+                timer.async_wait([&, respond](const boost::system::error_code & /*ec*/) {
+                    respond({.status = 200U, .body = body});
+                });
+            });
+            CPPUNIT_ASSERT(server.listen(anyLoopbackPort).ok());
+            platform::StoreClient store(client, server.address(), [] { return std::vector<std::string>{}; });
+            for (const auto expected :
+                 {platform::StoreResult::Done, isLong ? platform::StoreResult::Done : platform::StoreResult::Unknown}) {
+                std::optional<platform::StoreRead> response;
+                store.read("keyed.op", 0, Milliseconds{0}, 32, [&](const auto &read) { response = read; });
+                runUntil(io, [&] { return response.has_value(); });
+                CPPUNIT_ASSERT(response->result == expected);
+                isLate = true;
+            }
+        }
     }
 };
 
