--- a/src/dispatch/crash_func.h
+++ b/src/dispatch/crash_func.h
@@ -1,6 +1,6 @@
 /**
- * @file crash_func.h Finds the tasks that probably made a worker crash. Most runs on a crashed worker are sound, so
- * only those that it had begun last are suspected.
+ * @file crash_func.h Finds the tasks that probably made a worker crash. Most runs on a crashed worker did no
+ * harm, so only those that it had begun last are suspected.
  */
 #pragma once
 
--- a/src/dispatch/work_end.cpp
+++ b/src/dispatch/work_end.cpp
@@ -16,7 +16,7 @@
 
 /**
  * Sum of the weights of crashes at which a job fails: of three that came right after the start, or five others. Fewer
- * would fail sound tasks when many workers crash for another cause.
+ * would fail harmless tasks when many workers crash for another cause.
  */
 constexpr std::uint32_t maxCrashWeight = 5;
 
