Log in which stage each job has spent its time

Nothing told where a late job had waited: the lines named its acceptance, each placement and each end of a run, but not when the owner had it, when placements were stored, orders left and workers confirmed, nor anything of a job that never ended.

job_completed has the time in each stage (owner, earlier runs, advice, capacity, append, order, confirmation, run) of the task that ended last in each step; they add up to took_ms. job_overdue names, once, the stage of a job that becomes too late to be useful; job_reported when a caller is told first that a job has ended. Load lines tell the share of the time spent in ticks and how late these run.

--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -284,6 +284,8 @@
     TrafficByKind traffic{}; ///< Traffic at the last line.
     std::uint64_t workersEvaluated = 0; ///< EntryCounters::workersEvaluated at the last line.
     Milliseconds longestTick{0}; ///< Since the last line.
+    Milliseconds tickTime{0}; ///< Time spent in ticks since the last line.
+    std::uint64_t ticks = 0; ///< EntryCounters::ticks at the last line.
 };
 
 /** Reading of the clocks; taken once for each tick. */
--- a/src/dispatch/event_type.h
+++ b/src/dispatch/event_type.h
@@ -28,6 +28,8 @@
     RunStalled,
     StartRejected,
     JobCompleted,
+    JobOverdue,
+    JobReported,
     JobFailed,
     OwnershipClaimed,
     OwnershipTaken,
@@ -53,6 +55,7 @@
     EventKind value;
     std::string_view name; ///< Value of `event` in the log.
     LogLevel level;
+    bool isFrequent = false; ///< There is one for each run: such lines are the first to be dropped under load.
 };
 
 constexpr EnumTable<EventKind, EventKindRow> eventKindTable{{
@@ -65,11 +68,13 @@
     {EventKind::CallUndecided, "call_undecided", LogLevel::Warning},
     {EventKind::JobCancelled, "job_cancelled", LogLevel::Info},
     {EventKind::RunPlaced, "run_placed", LogLevel::Info},
-    {EventKind::RunEnded, "run_ended", LogLevel::Info},
+    {EventKind::RunEnded, "run_ended", LogLevel::Info, true},
     {EventKind::RunLost, "run_lost", LogLevel::Warning},
     {EventKind::RunStalled, "run_stalled", LogLevel::Warning},
     {EventKind::StartRejected, "start_rejected", LogLevel::Warning},
     {EventKind::JobCompleted, "job_completed", LogLevel::Info},
+    {EventKind::JobOverdue, "job_overdue", LogLevel::Info},
+    {EventKind::JobReported, "job_reported", LogLevel::Info},
     {EventKind::JobFailed, "job_failed", LogLevel::Warning},
     {EventKind::OwnershipClaimed, "ownership_claimed", LogLevel::Info},
     {EventKind::OwnershipTaken, "ownership_taken", LogLevel::Info},
--- a/src/dispatch/net/event_log.cpp
+++ b/src/dispatch/net/event_log.cpp
@@ -40,7 +40,7 @@
         line += event.fields;
     }
     line += '\n';
-    if (m_buf.size() + line.size() > maxBytes) {
+    if (m_buf.size() + line.size() > (row.isFrequent ? maxBytesForFrequent : maxBytes)) {
         ++dropped;
         return;
     }
--- a/src/dispatch/net/event_log.h
+++ b/src/dispatch/net/event_log.h
@@ -34,6 +34,7 @@
 
 private:
     static constexpr std::size_t maxBytes = 256 * 1024; ///< Maximum size of the buffer.
+    static constexpr std::size_t maxBytesForFrequent = maxBytes / 4; ///< Frequent lines do not grow it beyond this.
 
     std::string m_name;
     LogLevel m_minLevel;
--- a/src/dispatch/runtime.h
+++ b/src/dispatch/runtime.h
@@ -40,6 +40,7 @@
     const Milliseconds duration{clock.now() - time.now};
     entry.counters.observe(LatencyKind::Tick, duration);
     entry.loadReport.longestTick = std::max(entry.loadReport.longestTick, duration);
+    entry.loadReport.tickTime += duration;
     const Outbox out = std::exchange(entry.outbox, Outbox{});
     if (out.readJournal) {
         journal.read(*out.readJournal);
--- a/src/dispatch/systems/admission.cpp
+++ b/src/dispatch/systems/admission.cpp
@@ -181,13 +181,22 @@
         if (!isKnown) {
             return respond(call, CallResult::UnknownJob, "no such job");
         }
-        const auto &state = m_entry.jobs.table.get<JobState>(it->second);
+        auto &state = m_entry.jobs.table.get<JobState>(it->second);
         if (call.call.verb == CallVerb::Query && !hasEnded(state) && !isCurrentFor(call.call)) {
             m_entry.journal.readRequested = true;
             m_entry.wakeBy(m_time.now);
             m_entry.wakeBy(call.call.receivedAt + queryWaitLimit);
             return CallDecision::Waits;
         }
+        if (call.call.verb == CallVerb::Query && hasEnded(state) && !std::exchange(state.reported, true)) {
+            logEvent(m_entry,
+                     EventKind::JobReported,
+                     call.job,
+                     "queue={} known_for_ms={} waited_ms={}",
+                     call.queue,
+                     (m_time.now - state.endedAt).count(),
+                     (m_time.now - call.call.receivedAt).count());
+        }
         m_entry.outbox.responses.push_back(
             {call.call.handle, call.call.verb, CallResult::Done, call.job, phaseOf(state), 0, Milliseconds{0}, ""});
         return CallDecision::Answered;
--- a/src/dispatch/systems/advice.cpp
+++ b/src/dispatch/systems/advice.cpp
@@ -161,6 +161,15 @@
     entry.outbox.adviceRequests.push_back(std::move(request));
 }
 
+/** Adds the time since the last response in which an open group had no valid ticket. */
+void countTimeWithoutTickets(GroupAdvice &advice, const GroupState &group, const TickTime &time)
+{
+    const auto since = std::max({group.openedAt, advice.validUntil, advice.respondedAt});
+    if (group.open && time.now > since) {
+        advice.timeWithoutTickets += time.now - since;
+    }
+}
+
 /** Stores a ticket for each granted worker of a request, and a refusal for each of the others. */
 void storeTickets(Entry &entry, const PendingAdvice &request, const AdviceResponse &response)
 {
@@ -202,6 +211,7 @@
         auto &advice = entry.work.groups.get<GroupAdvice>(request.group);
         advice.pendingNumber = 0;
         advice.renewing.clear();
+        countTimeWithoutTickets(advice, entry.work.groups.get<GroupState>(request.group), time);
         advice.respondedAt = time.now;
         relay.lastSucceeded = !response.failed;
         if (response.failed) {
--- a/src/dispatch/systems/load_report.cpp
+++ b/src/dispatch/systems/load_report.cpp
@@ -93,18 +93,26 @@
     }
     const auto interval = entry.isOwner() ? ownerInterval : followerInterval;
     if (report.dueAt != MonotonicTime{}) {
-        logEvent(entry,
-                 EventKind::Load,
-                 0,
-                 "owner={} journal_age_ms={} calls_open={} longest_tick_ms={}{}{}",
-                 entry.isOwner(),
-                 (time.now - entry.journal.asOf).count(),
-                 entry.calls.size(),
-                 report.longestTick.count(),
-                 entry.isOwner() ? describeOwner(entry, time) : std::string(),
-                 describeTraffic(entry));
+        logEvent(
+            entry,
+            EventKind::Load,
+            0,
+            "owner={} journal_age_ms={} calls_open={} ticks={} tick_time_ms={} longest_tick_ms={} tick_delay_ms={}{}{}",
+            entry.isOwner(),
+            (time.now - entry.journal.asOf).count(),
+            entry.calls.size(),
+            entry.counters.ticks - report.ticks,
+            report.tickTime.count(),
+            report.longestTick.count(),
+            entry.ownership.tickDelay.count(),
+            entry.isOwner() ? describeOwner(entry, time) : std::string(),
+            describeTraffic(entry));
     }
-    report = {time.now + interval, entry.counters.traffic, entry.counters.workersEvaluated, Milliseconds{0}};
+    report = {};
+    report.dueAt = time.now + interval;
+    report.traffic = entry.counters.traffic;
+    report.workersEvaluated = entry.counters.workersEvaluated;
+    report.ticks = entry.counters.ticks;
 }
 
 } // namespace flamingotally::dispatch
--- a/src/dispatch/systems/order.cpp
+++ b/src/dispatch/systems/order.cpp
@@ -149,6 +149,7 @@
     const auto stored = entry.writer(JournalWriter::Owner).batchesStored;
     if (state.phase == RunPhase::Planned && state.waitsForBatch <= stored) {
         state.phase = RunPhase::Ordered;
+        state.storedAt = time.now;
         state.sendAt = time.now;
     }
     const bool needsOrder =
--- a/src/dispatch/systems/placement.cpp
+++ b/src/dispatch/systems/placement.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/entry_func.h"
 #include "dispatch/policy/group_order.h"
 #include "dispatch/policy/placer.h"
+#include "dispatch/stage_func.h"
 #include "dispatch/systems/systems.h"
 
 #include <algorithm>
@@ -54,12 +55,10 @@
         view.usePerShare = cores / std::max(config.current.teams[it->second].share, 1e-6);
     }
     const auto &occurrence = entry.work.occurrences.get<OccurrenceWork>(identity.occurrence);
-    const auto longest = *std::ranges::max_element(occurrence.criticalPaths);
-    const auto stretched = static_cast<std::int64_t>(policy.stretch * static_cast<double>(longest.count()));
-    const auto objective = Milliseconds(stretched) + policy.targetLatency;
-    view.objectiveAt = occurrence.dueAt + objective;
+    view.objectiveAt = occurrence.dueAt + occurrence.objective;
     if (!step.endless) {
-        view.timeliness = timelinessOf(occurrence.dueAt, objective, occurrence.criticalPaths[identity.step], time);
+        view.timeliness =
+            timelinessOf(occurrence.dueAt, occurrence.objective, occurrence.criticalPaths[identity.step], time);
     }
     return view;
 }
@@ -97,6 +96,9 @@
     pass.gangsWaiting = 0;
     for (const auto it : entry.work.waitingGroups) {
         const auto view = viewOf(entry, it, time);
+        if (view.timeliness == Timeliness::TooLate) {
+            logOverdue(entry, it, time);
+        }
         ++pass.groupsWaiting[static_cast<std::size_t>(view.timeliness)];
         pass.gangsWaiting += stepOf(entry, it).gang ? 1 : 0;
         keyed.emplace_back(Order::key(view), it);
--- a/src/dispatch/work.cpp
+++ b/src/dispatch/work.cpp
@@ -80,6 +80,14 @@
     return criticalPaths;
 }
 
+/** Returns the time within which an occurrence with the given critical paths of its steps should be done. */
+Milliseconds objectiveOf(const JobPolicy &policy, const std::vector<Milliseconds> &criticalPaths)
+{
+    const auto longest = *std::ranges::max_element(criticalPaths);
+    const auto stretched = static_cast<std::int64_t>(policy.stretch * static_cast<double>(longest.count()));
+    return Milliseconds(stretched) + policy.targetLatency;
+}
+
 /** Adds an occurrence to the active work, with its progress in the journal, and opens its first groups. */
 void openOccurrence(Entry &entry, JobRef job, std::uint32_t number, MonotonicTime dueAt, const TickTime &time)
 {
@@ -91,6 +99,8 @@
     state.begun = known.begun;
     state.outcome = known.outcome;
     state.criticalPaths = criticalPathsOf(spec);
+    state.objective = objectiveOf(entry.jobs.table.get<JobPlan>(job).policy, state.criticalPaths);
+    state.openedAt = time.now;
     const auto occurrence = work.occurrences.insert({job, number}, std::move(state));
     work.byJob[job].push_back(occurrence);
     for (std::uint32_t n = 0; n < spec.steps.size(); ++n) {
@@ -100,7 +110,7 @@
     }
     adoptProgress(entry, occurrence, known.tasks, time);
     openGroups(entry, occurrence, time);
-    completeIfDone(entry, occurrence);
+    completeIfDone(entry, occurrence, time);
 }
 
 /** Returns when an occurrence is due; for a job without a schedule, when it was accepted, but not in the future. */
@@ -255,6 +265,8 @@
     run.waitsForBatch = nextOwnerBatch(entry);
     run.reservedOnWorker = demandOf(step);
     run.chargedToTeam = step.perTask;
+    run.placedAt = time.now;
+    run.timeWithoutTickets = work.groups.get<GroupAdvice>(group).timeWithoutTickets;
     run.progressAt = time.now;
     const auto ref = work.runs.insert({task, worker, number}, run);
     auto &state = work.tasks.get<TaskState>(task);
--- a/src/dispatch/work_base.h
+++ b/src/dispatch/work_base.h
@@ -3,6 +3,7 @@
 
 #include "core/enum_table.h"
 #include "dispatch/job_base.h"
+#include "dispatch/stage_type.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -40,6 +41,9 @@
     std::vector<GroupRef> groups; ///< By step.
     /** By step: estimated time of the longest chain of steps that begins with it. */
     std::vector<Milliseconds> criticalPaths;
+    Milliseconds objective{0}; ///< Time after `dueAt` within which the occurrence should be done.
+    MonotonicTime openedAt{}; ///< When this owner added the occurrence to its tables.
+    bool overdueLogged = false; ///< It was logged that the occurrence is too late to be useful.
 };
 
 using OccurrenceTable = Table<OccurrenceTag, OccurrenceIdentity, OccurrenceWork>;
@@ -61,6 +65,8 @@
     /** For a gang: number of the last run that was counted in the `crashWeight` of its members. */
     RunNumber crashedRun = 0;
     MonotonicTime openedAt{}; ///< When the group was opened; zero before.
+    MonotonicTime doneAt{}; ///< When the last task was done; zero before.
+    StageTimes stages{}; ///< Of the task that was done last, from the opening of the group on.
     std::vector<TaskRef> tasks; ///< By index.
 };
 
@@ -79,6 +85,7 @@
     std::uint64_t pendingNumber = 0; ///< Number of the request in flight; zero for none.
     std::uint32_t requestCount = 0; ///< Number of requests sent for the group.
     MonotonicTime respondedAt{}; ///< When the last response arrived; zero before.
+    Milliseconds timeWithoutTickets{0}; ///< How long the group was open without a valid ticket, until `respondedAt`.
     std::vector<std::string> workersToRenew; ///< Ids of workers whose ticket expired before a placed run was started.
     std::vector<std::string> renewing; ///< Ids of the workers whose tickets the request in flight renews.
 };
@@ -102,6 +109,7 @@
     RunRef run; ///< The current run; unset when the task has none.
     WorkerRef avoidedWorker; ///< Worker of the last run that failed or stalled; the next run prefers others.
     MonotonicTime readyAt{}; ///< The task is not placed before this time.
+    MonotonicTime requeuedAt{}; ///< When its last run had ended without completing it; zero before.
 };
 
 using TaskTable = Table<TaskTag, TaskIdentity, TaskState>;
@@ -120,6 +128,9 @@
     bool inFlight = false; ///< A start or stop order is in flight.
     bool mayHaveArrived = false; ///< A start order got no response, so it may have been executed or may be later.
     std::uint32_t startsSent = 0; ///< Number of start orders sent.
+    MonotonicTime placedAt{};
+    Milliseconds timeWithoutTickets{0}; ///< GroupAdvice::timeWithoutTickets of its group at the placement.
+    MonotonicTime storedAt{}; ///< When this owner learnt that its placement is stored; zero before.
     MonotonicTime sendAt{}; ///< The next order is not sent before this time.
     /** When the first start order was sent; for a run of a previous owner, when this owner took it over. */
     MonotonicTime firstSentAt{};
--- a/src/dispatch/work_end.cpp
+++ b/src/dispatch/work_end.cpp
@@ -2,6 +2,7 @@
 
 #include "dispatch/crash_func.h"
 #include "dispatch/entry_func.h"
+#include "dispatch/stage_func.h"
 #include "dispatch/table/dispatch_table.h"
 #include "dispatch/work_step.h"
 
@@ -67,7 +68,7 @@
 }
 
 /** Makes a task wait for its next run, or drops it if its occurrence is closed. A task that is done stays done. */
-void requeueTask(Entry &entry, TaskRef task)
+void requeueTask(Entry &entry, TaskRef task, const TickTime &time)
 {
     auto &work = entry.work;
     auto &state = work.tasks.get<TaskState>(task);
@@ -78,6 +79,7 @@
     }
     const bool isClosed = work.occurrences.get<OccurrenceWork>(occurrence).closed;
     state.phase = isClosed ? TaskPhase::Dropped : TaskPhase::Waiting;
+    state.requeuedAt = time.now;
     markDirty(work, occurrence);
     if (!isClosed) {
         listGroup(work, work.tasks.get<TaskIdentity>(task).group);
@@ -99,7 +101,7 @@
     if (isDone(work, group)) {
         markDirty(work, occurrence);
         openGroups(entry, occurrence, time);
-        completeIfDone(entry, occurrence);
+        completeIfDone(entry, occurrence, time);
     } else {
         deferWrite(entry, occurrence, time);
         prefetchAdvice(entry, occurrence);
@@ -146,7 +148,7 @@
     if (how == RunEnd::Failed) {
         countFailure(entry, task, time);
     }
-    requeueTask(entry, task);
+    requeueTask(entry, task, time);
 }
 
 /** Counts a failed run of a gang once for all members; fails the job at the maximum, unless the step is endless. */
@@ -223,7 +225,7 @@
         }
     }
     if (work.tasks.get<TaskState>(task).phase != TaskPhase::Done) {
-        requeueTask(entry, task);
+        requeueTask(entry, task, time);
     }
 }
 
@@ -249,6 +251,9 @@
     if (isSettled(entry, run)) {
         clearCrashes(entry, identity.task);
     }
+    if (how == RunEnd::Done) {
+        recordStages(entry, run, time);
+    }
     eraseRun(entry, run);
     if (!checkpoint.empty()) {
         work.tasks.get<TaskState>(identity.task).checkpoint = checkpoint;
@@ -323,7 +328,7 @@
     const auto group = entry.work.tasks.get<TaskIdentity>(identity.task).group;
     eraseRun(entry, run);
     if (entry.work.tasks.get<TaskState>(identity.task).phase != TaskPhase::Done) {
-        requeueTask(entry, identity.task);
+        requeueTask(entry, identity.task, time);
     }
     if (!stepOf(entry, group).gang) {
         return;
--- a/src/dispatch/work_step.cpp
+++ b/src/dispatch/work_step.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/work_step.h"
 
 #include "dispatch/entry_func.h"
+#include "dispatch/stage_func.h"
 
 #include <algorithm>
 #include <utility>
@@ -114,7 +115,7 @@
     }
 }
 
-void completeIfDone(Entry &entry, OccurrenceRef occurrence)
+void completeIfDone(Entry &entry, OccurrenceRef occurrence, const TickTime &time)
 {
     auto &work = entry.work;
     auto &state = work.occurrences.get<OccurrenceWork>(occurrence);
@@ -124,8 +125,16 @@
     state.closed = true;
     state.outcome = OccurrenceOutcome::Completed;
     const auto &identity = work.occurrences.get<OccurrenceIdentity>(occurrence);
-    const auto job = entry.jobs.table.get<JobIdentity>(identity.job).id;
-    logEvent(entry, EventKind::JobCompleted, job, "occurrence={}", identity.number);
+    const auto &job = entry.jobs.table.get<JobIdentity>(identity.job);
+    logEvent(entry,
+             EventKind::JobCompleted,
+             job.id,
+             "occurrence={} queue={} objective_ms={} took_ms={}{}",
+             identity.number,
+             job.queue,
+             state.objective.count(),
+             (time.now - state.dueAt).count(),
+             describeStages(stagesOf(entry, occurrence)));
 }
 
 } // namespace flamingotally::dispatch
--- a/src/dispatch/work_step.h
+++ b/src/dispatch/work_step.h
@@ -41,6 +41,6 @@
 void openGroups(Entry &entry, OccurrenceRef occurrence, const TickTime &time);
 
 /** Closes an occurrence as completed if all its groups are done. */
-void completeIfDone(Entry &entry, OccurrenceRef occurrence);
+void completeIfDone(Entry &entry, OccurrenceRef occurrence, const TickTime &time);
 
 } // namespace flamingotally::dispatch
--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -258,8 +258,9 @@
         m_world.m_responses[response.handle] = response;
     }
 
-    void write(const Event & /*event*/, std::uint64_t & /*dropped*/)
+    void write(const Event &event, std::uint64_t & /*dropped*/)
     {
+        m_world.events.push_back(event);
     }
 
 private:
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -174,6 +174,7 @@
 
     /** Violations of the invariants, in the order in which they were observed. */
     std::vector<std::string> violations;
+    std::vector<dispatch::Event> events; ///< Log events of all daemons.
 
 private:
     friend class WorldPorts;
