Examine the workers that may run a group, not all of its pool

Callers saw short jobs end late for as long as a backlog waited, seconds after the last disruption, beside free workers.

Cause: each pass looked at every worker of the pool for every waiting group, by hash of the worker's name: with 1,100 groups and 1,300 workers two million evaluations a second, besides the unmeasured searches for workers to ask about, to reserve or to put into a request. Class: the cost of a decision grows with the backlog, so that an overload feeds itself.

Change: a group keeps the workers that may run it, by reference; only these are candidates and can be reserved. A task that needs more than any worker has free is not searched for. A search for workers to ask about ends at the first and, when it found none, is repeated after 50 ms. Requests rank references of the pool's workers, and relays are looked up once a tick. workersExamined counts the workers looked at for any reason.

--- a/src/core/table.h
+++ b/src/core/table.h
@@ -6,6 +6,7 @@
 #include <compare>
 #include <cstdint>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace flamingotally
@@ -30,6 +31,12 @@
         return index != invalidIndex;
     }
 
+    template<typename Hash>
+    friend Hash AbslHashValue(Hash state, const Ref &ref)
+    {
+        return Hash::combine(std::move(state), ref.index, ref.generation);
+    }
+
     template<typename Visitor>
     void fields(Visitor &&visitor)
     {
--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -174,7 +174,7 @@
 struct PendingAdvice {
     GroupRef group;
     std::string relay; ///< Name of the daemon that sends it to the service.
-    std::vector<std::string> workers; ///< Ids of the workers in the request.
+    std::vector<WorkerRef> workers; ///< The workers in the request.
     double costMs = 0; ///< Estimated time that the service takes for the request, in milliseconds.
 };
 
@@ -264,6 +264,9 @@
     std::uint64_t batches = 0; ///< Batches sent to the journal, including repeated sends.
     std::uint64_t adviceRequests = 0; ///< Requests sent to the policy service.
     std::uint64_t workersEvaluated = 0; ///< Workers evaluated for a group in placement passes.
+    /** Workers looked at for a group for any reason: for placements, reservations and requests to the policy service.
+     */
+    std::uint64_t workersExamined = 0;
     std::uint64_t droppedLines = 0; ///< Log lines that were dropped because the buffer was full.
     TrafficByKind traffic{};
 
--- a/src/dispatch/policy/capacity_reservation.h
+++ b/src/dispatch/policy/capacity_reservation.h
@@ -48,11 +48,9 @@
     std::size_t reserveForRenewals(std::size_t limit)
     {
         std::size_t n = 0;
-        for (const auto &id : m_entry.work.groups.get<GroupAdvice>(m_evaluation.group()).renewing) {
-            const auto it = m_entry.workers.byId.find(id);
-            if (it != m_entry.workers.byId.end() && n < limit
-                && m_evaluation.evaluate(it->second) == Fit::NeedsTicket) {
-                reserve(it->second);
+        for (const auto worker : m_entry.work.groups.get<GroupAdvice>(m_evaluation.group()).renewing) {
+            if (n < limit && isInPass(m_entry, worker) && m_evaluation.evaluate(worker) == Fit::NeedsTicket) {
+                reserve(worker);
                 ++n;
             }
         }
@@ -102,9 +100,10 @@
             return false;
         }
         std::size_t places = 0;
-        for (const auto worker : m_evaluation.poolWorkers()) {
+        for (const auto worker : m_evaluation.pool().workers) {
             const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
-            if (m_evaluation.hasLabel(identity) && m_evaluation.permissionOf(identity.id) != Permission::Refused) {
+            ++m_entry.counters.workersExamined;
+            if (m_evaluation.hasLabel(identity) && m_evaluation.permissionOf(worker) != Permission::Refused) {
                 places += tasksOnEmptyWorker(identity.capacity);
             }
             if (places >= waiting) {
@@ -119,7 +118,8 @@
     {
         WorkerRef best;
         double bestPart = -1;
-        for (const auto worker : m_evaluation.poolWorkers()) {
+        m_entry.counters.workersExamined += m_evaluation.permittedWorkers().size();
+        for (const auto worker : m_evaluation.permittedWorkers()) {
             if (!mayReserveForLargeTask(worker)) {
                 continue;
             }
@@ -137,10 +137,12 @@
     /** Returns true if a task is large on a worker that could run it once enough capacity is free. */
     bool mayReserveForLargeTask(WorkerRef worker) const
     {
-        const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
-        return isLargeOn(identity.capacity) && m_evaluation.demand().fitsInto(identity.capacity)
-            && m_evaluation.reservedOn(worker) == Resources{} && m_evaluation.hasLabel(identity)
-            && m_evaluation.permissionOf(identity.id) == Permission::Granted && m_evaluation.isBelowWorkerLimit(worker);
+        if (!m_evaluation.isEligible(worker)) {
+            return false;
+        }
+        const auto &capacity = m_entry.workers.table.get<WorkerIdentity>(worker).capacity;
+        return isLargeOn(capacity) && m_evaluation.demand().fitsInto(capacity)
+            && m_evaluation.reservedOn(worker) == Resources{} && m_evaluation.isBelowWorkerLimit(worker);
     }
 
     /** Returns the part of the scarcest resource of a task that is free on a worker, 1 at most. */
--- a/src/dispatch/policy/pass_workers.h
+++ b/src/dispatch/policy/pass_workers.h
@@ -33,20 +33,32 @@
         const auto &name = entry.workers.table.get<WorkerIdentity>(worker).pool;
         auto it = std::ranges::find(pools, name, &PassPool::name);
         if (it == pools.end()) {
-            it = pools.insert(pools.end(), {name, {}});
+            it = pools.insert(pools.end(), {name, {}, {}});
         }
         it->workers.push_back(worker);
+        const auto free =
+            entry.workers.table.get<WorkerIdentity>(worker).capacity - entry.workers.table.get<WorkerLoad>(worker).used;
+        it->mostFree = {std::max(it->mostFree.cpuMilli, free.cpuMilli),
+                        std::max(it->mostFree.memoryMb, free.memoryMb),
+                        std::max(it->mostFree.accelerators, free.accelerators)};
     });
     return pools;
 }
 
-/** Returns the workers of a pool that accept tasks in the current pass. */
-inline const std::vector<WorkerRef> &workersInPass(const Entry &entry, const std::string &pool)
+/** Returns a pool of the current or the last pass; one without workers if it has none of that name. */
+inline const PassPool &poolInPass(const Entry &entry, const std::string &pool)
 {
-    static const std::vector<WorkerRef> none;
+    static const PassPool none;
     const auto &pools = entry.work.pass.pools;
     const auto it = std::ranges::find(pools, pool, &PassPool::name);
-    return it == pools.end() ? none : it->workers;
+    return it == pools.end() ? none : *it;
+}
+
+/** Returns true if a worker accepts tasks in the current pass; false also if it has left the table. */
+inline bool isInPass(const Entry &entry, WorkerRef worker)
+{
+    return entry.workers.table.contains(worker)
+        && entry.workers.table.get<WorkerHealth>(worker).acceptsInPass == entry.work.pass.number;
 }
 
 } // namespace flamingotally::dispatch
--- a/src/dispatch/policy/placer.h
+++ b/src/dispatch/policy/placer.h
@@ -30,20 +30,35 @@
      */
     std::uint32_t place()
     {
-        if (isUnplaceable()) {
+        if (isUnplaceable() || !m_evaluation.hasValidTickets()) {
             return 0;
         }
-        if (!m_evaluation.hasValidTickets()) {
-            m_lacksTickets = wouldUseTickets();
-            return 0;
+        const auto placed = m_evaluation.step().gang ? placeGang() : placeSingles();
+        if (placed == 0 && !hasCapacityAnywhere()) {
+            const auto &step = m_evaluation.step();
+            m_entry.work.pass.unplaceable.push_back(
+                {m_evaluation.policy().pool, step.requiredLabel, m_evaluation.demand()});
         }
-        return m_evaluation.step().gang ? placeGang() : placeSingles();
+        return placed;
     }
 
-    /** Returns true if place() found a worker that lacked only a ticket. */
-    bool lacksTickets() const
+    /**
+     * Returns true if a request for tickets could lead to a placement: a worker that may run the step, but has no valid
+     * ticket, has capacity. After a search that found none, it is repeated only after `searchPause`.
+     */
+    bool lacksTickets()
     {
-        return m_lacksTickets || m_search.lacksTickets();
+        auto &advice = m_entry.work.groups.get<GroupAdvice>(m_evaluation.group());
+        if (m_time.now < advice.searchAt || isUnplaceable()) {
+            return false;
+        }
+        const bool isFound = std::ranges::any_of(m_evaluation.pool().workers, [this](WorkerRef worker) {
+            ++m_entry.counters.workersExamined;
+            return m_evaluation.hasCapacity(worker) && m_evaluation.isEligible(worker)
+                && m_evaluation.isBelowWorkerLimit(worker) && m_evaluation.evaluateTicket(worker) == Fit::NeedsTicket;
+        });
+        advice.searchAt = isFound ? MonotonicTime{} : m_time.now + searchPause;
+        return isFound;
     }
 
     /** Returns true if another task of the group would exceed the team's limit. */
@@ -59,23 +74,27 @@
     }
 
 private:
-    /** Returns true if a request for tickets could lead to a placement: a worker that may run the step has capacity. */
-    bool wouldUseTickets() const
+    static constexpr Milliseconds searchPause{50};
+
+    /** Returns true if a worker of the pool has capacity for a task, whether it may run the step or not. */
+    bool hasCapacityAnywhere() const
     {
-        if (m_entry.work.groups.get<GroupAdvice>(m_evaluation.group()).pendingNumber != 0) {
-            return false; // there is one already
-        }
-        return std::ranges::any_of(m_evaluation.poolWorkers(), [this](WorkerRef worker) {
-            const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
-            return m_evaluation.hasCapacity(worker) && m_evaluation.hasLabel(identity)
-                && m_evaluation.permissionOf(identity.id) != Permission::Refused
-                && m_evaluation.isBelowWorkerLimit(worker);
+        return std::ranges::any_of(m_evaluation.pool().workers, [this](WorkerRef worker) {
+            ++m_entry.counters.workersExamined;
+            return m_evaluation.hasCapacity(worker)
+                && m_evaluation.hasLabel(m_entry.workers.table.get<WorkerIdentity>(worker));
         });
     }
 
-    /** Returns true if an earlier group of the pass with the same or a smaller demand found no capacity anywhere. */
+    /**
+     * Returns true if no worker has capacity: a task needs more than any had free at the start of the pass, or an
+     * earlier group of the pass with the same or a smaller demand found none.
+     */
     bool isUnplaceable() const
     {
+        if (!m_evaluation.demand().fitsInto(m_evaluation.pool().mostFree)) {
+            return true;
+        }
         return std::ranges::any_of(m_entry.work.pass.unplaceable, [&](const UnplaceableDemand &it) {
             return it.pool == m_evaluation.policy().pool && it.demand.fitsInto(m_evaluation.demand())
                 && (it.label.empty() || it.label == m_evaluation.step().requiredLabel);
@@ -173,7 +192,6 @@
     const TickTime &m_time;
     WorkerEvaluation m_evaluation;
     WorkerSearch<Choice> m_search; ///< Refers to m_evaluation.
-    bool m_lacksTickets = false; ///< All tickets have expired, and new ones would be used.
 };
 
 } // namespace flamingotally::dispatch
--- a/src/dispatch/policy/worker_evaluation.h
+++ b/src/dispatch/policy/worker_evaluation.h
@@ -49,8 +49,7 @@
             return Fit::NoCapacity;
         }
         const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
-        return acceptsTasks(m_entry, worker, m_time) && matches(identity) ? evaluateTicket(worker, identity)
-                                                                          : Fit::Ineligible;
+        return acceptsTasks(m_entry, worker, m_time) && matches(identity) ? evaluateTicket(worker) : Fit::Ineligible;
     }
 
     /** Returns true if a worker accepts tasks and could run the group's, regardless of its current load and tickets. */
@@ -61,9 +60,21 @@
     }
 
     /** Returns the workers of the group's pool that accept tasks in this pass. */
-    const std::vector<WorkerRef> &poolWorkers() const
+    const PassPool &pool() const
     {
-        return workersInPass(m_entry, m_policy.pool);
+        return poolInPass(m_entry, m_policy.pool);
+    }
+
+    /** Returns the workers on which a task could be placed: those of the pool, or those with a granted ticket. */
+    const std::vector<WorkerRef> &permittedWorkers() const
+    {
+        return m_policy.advice.required ? m_entry.work.groups.get<GroupAdvice>(m_group).granted : pool().workers;
+    }
+
+    /** Returns true if a worker accepts tasks in this pass, belongs to the group's pool and has the required label. */
+    bool isEligible(WorkerRef worker) const
+    {
+        return isInPass(m_entry, worker) && matches(m_entry.workers.table.get<WorkerIdentity>(worker));
     }
 
     /** Returns the time of the pass. */
@@ -96,12 +107,12 @@
     }
 
     /** Evaluates the ticket for a worker; returns Fits when the step needs none. */
-    Fit evaluateTicket(WorkerRef worker, const WorkerIdentity &identity) const
+    Fit evaluateTicket(WorkerRef worker) const
     {
         if (!m_policy.advice.required) {
             return Fit::Fits;
         }
-        const auto it = m_tickets.find(identity.id);
+        const auto it = m_tickets.find(worker);
         if (it == m_tickets.end()) {
             return Fit::NeedsTicket;
         }
@@ -113,13 +124,13 @@
         return isValid ? Fit::Fits : Fit::NeedsTicket;
     }
 
-    /** Returns whether the policy service allows the worker with an id to run the step. */
-    Permission permissionOf(const std::string &id) const
+    /** Returns whether the policy service allows a worker to run the step. */
+    Permission permissionOf(WorkerRef worker) const
     {
         if (!m_policy.advice.required) {
             return Permission::Granted;
         }
-        const auto it = m_tickets.find(id);
+        const auto it = m_tickets.find(worker);
         if (it == m_tickets.end()) {
             return Permission::Undecided;
         }
@@ -210,7 +221,7 @@
     const TickTime &m_time;
     const StepSpec &m_step;
     const JobPolicy &m_policy;
-    const absl::flat_hash_map<std::string, Ticket> &m_tickets; ///< By the id of the worker.
+    const absl::flat_hash_map<WorkerRef, Ticket> &m_tickets;
     Resources m_demand;
     std::vector<GangMember> m_members; ///< Members of the gang that have capacity reserved.
 };
--- a/src/dispatch/policy/worker_search.h
+++ b/src/dispatch/policy/worker_search.h
@@ -4,6 +4,9 @@
 #include "dispatch/policy/worker_choice.h"
 #include "dispatch/policy/worker_evaluation.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace flamingotally::dispatch
 {
 
@@ -44,12 +47,6 @@
         return best;
     }
 
-    /** Returns true if a worker was found that lacked only a ticket. */
-    bool lacksTickets() const
-    {
-        return m_lacksTickets;
-    }
-
 private:
     /**
      * Finds the workers that can run a task of the group now. choose() needs no others, as free capacity only shrinks
@@ -58,27 +55,13 @@
     void findCandidates()
     {
         m_isSearched = true;
-        bool anyCapacity = false;
-        m_entry.counters.workersEvaluated += m_evaluation.poolWorkers().size();
-        for (const auto worker : m_evaluation.poolWorkers()) {
-            const auto &identity = m_entry.workers.table.get<WorkerIdentity>(worker);
-            if (!m_evaluation.hasCapacity(worker) || !m_evaluation.hasLabel(identity)) {
-                continue;
-            }
-            anyCapacity = true;
-            if (!m_evaluation.isBelowWorkerLimit(worker)) {
-                continue;
-            }
-            const auto fit = m_evaluation.evaluateTicket(worker, identity);
-            m_lacksTickets = m_lacksTickets || fit == Fit::NeedsTicket;
-            if (fit == Fit::Fits) {
-                m_candidates.push_back(worker);
-            }
-        }
-        if (!anyCapacity) {
-            m_entry.work.pass.unplaceable.push_back(
-                {m_evaluation.policy().pool, m_evaluation.step().requiredLabel, m_evaluation.demand()});
-        }
+        const auto &workers = m_evaluation.permittedWorkers();
+        m_entry.counters.workersEvaluated += workers.size();
+        m_entry.counters.workersExamined += workers.size();
+        std::ranges::copy_if(workers, std::back_inserter(m_candidates), [this](WorkerRef worker) {
+            return m_evaluation.isEligible(worker) && m_evaluation.hasCapacity(worker)
+                && m_evaluation.isBelowWorkerLimit(worker) && m_evaluation.evaluateTicket(worker) == Fit::Fits;
+        });
     }
 
     /** Returns the properties by which a worker is scored for a task. */
@@ -105,7 +88,6 @@
     const WorkerEvaluation &m_evaluation;
     std::vector<WorkerRef> m_candidates; ///< Workers that could take a task when findCandidates() ran.
     bool m_isSearched = false; ///< findCandidates() has run.
-    bool m_lacksTickets = false; ///< A worker was found that lacked only a ticket.
 };
 
 } // namespace flamingotally::dispatch
--- a/src/dispatch/systems/advice.cpp
+++ b/src/dispatch/systems/advice.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/entry_func.h"
 #include "dispatch/policy/worker_evaluation.h"
 #include "dispatch/systems/systems.h"
+#include "dispatch/ticket_func.h"
 
 #include <algorithm>
 
@@ -55,13 +56,18 @@
     return relay.pendingMs + (relay.lastSucceeded ? 0 : unverifiedPenaltyMs);
 }
 
+/** Adds a relay for each daemon that has none yet. */
+void addRelays(Entry &entry)
+{
+    for (const auto &[name, record] : entry.ownership.daemons) {
+        entry.advice.relays.try_emplace(name);
+    }
+}
+
 /** Finds the relay that is expected to respond first; null when none can send the request now. */
 std::pair<const std::string, Relay> *findRelay(Entry &entry, double costMs, const TickTime &time)
 {
     auto &relays = entry.advice.relays;
-    for (const auto &[name, record] : entry.ownership.daemons) {
-        relays.try_emplace(name);
-    }
     if (costMs > longRequestMs && isLongRequestLimitReached(entry.advice, time)) {
         return nullptr;
     }
@@ -74,12 +80,25 @@
     return best;
 }
 
-/** Ids of the workers to include in a request. */
+/** Workers to include in a request. */
 struct RequestWorkers {
-    std::vector<std::string> all;
-    std::vector<std::string> renewing; ///< The workers in `all` that had a ticket before, which the request renews.
+    std::vector<WorkerRef> all;
+    std::vector<WorkerRef> renewing; ///< The workers in `all` that had a ticket before, which the request renews.
 };
 
+/** A worker with its free processor capacity in thousandths of a core, negated so that the largest sorts first. */
+using RankedWorker = std::pair<std::int64_t, WorkerRef>;
+
+/** Appends the first workers of a ranking. @param limit Maximum size of the result. */
+void appendFirst(std::vector<RankedWorker> ranking, std::size_t limit, std::vector<WorkerRef> &workers)
+{
+    const auto n = std::min(ranking.size(), limit > workers.size() ? limit - workers.size() : 0);
+    std::ranges::partial_sort(ranking, ranking.begin() + static_cast<std::ptrdiff_t>(n));
+    for (std::size_t i = 0; i < n; ++i) {
+        workers.push_back(ranking[i].second);
+    }
+}
+
 /**
  * Chooses the workers for a request about a group:
  * - first the workers with a placed run of the group whose ticket has expired;
@@ -90,37 +109,48 @@
 RequestWorkers chooseWorkers(Entry &entry, GroupRef group, const TickTime &time)
 {
     const WorkerEvaluation evaluation(entry, group, time);
-    const auto &tickets = entry.work.groups.get<GroupAdvice>(group).tickets;
-    std::vector<std::pair<std::int64_t, std::string>> undecided;
-    std::vector<std::pair<std::int64_t, std::string>> renewable;
-    entry.workers.table.forEach([&](WorkerRef worker) {
-        const auto &identity = entry.workers.table.get<WorkerIdentity>(worker);
-        const auto free = identity.capacity - entry.workers.table.get<WorkerLoad>(worker).used;
-        if (!tickets.contains(identity.id)) {
+    const auto &advice = entry.work.groups.get<GroupAdvice>(group);
+    const auto &pool = evaluation.pool().workers;
+    std::vector<RankedWorker> undecided;
+    std::vector<RankedWorker> renewable;
+    entry.counters.workersExamined += pool.size();
+    for (const auto worker : pool) {
+        if (!entry.workers.table.contains(worker)) {
+            continue; // it has left since the last pass
+        }
+        const auto &capacity = entry.workers.table.get<WorkerIdentity>(worker).capacity;
+        const auto freeCpu = capacity.cpuMilli - entry.workers.table.get<WorkerLoad>(worker).used.cpuMilli;
+        if (!advice.tickets.contains(worker)) {
             if (evaluation.isUsable(worker)) {
-                undecided.emplace_back(-free.cpuMilli, identity.id);
+                undecided.emplace_back(-freeCpu, worker);
             }
         } else if (evaluation.evaluate(worker) == Fit::NeedsTicket) {
-            renewable.emplace_back(-free.cpuMilli, identity.id);
+            renewable.emplace_back(-freeCpu, worker);
         }
-    });
-    std::ranges::sort(undecided);
-    std::ranges::sort(renewable);
-    RequestWorkers workers;
-    workers.renewing = entry.work.groups.get<GroupAdvice>(group).workersToRenew;
-    const auto wanted = waitingTasks(entry, group) + spareWorkers;
-    for (std::size_t n = 0; n < renewable.size() && n < wanted; ++n) {
-        workers.renewing.push_back(std::move(renewable[n].second));
     }
+    RequestWorkers workers;
+    workers.renewing = advice.workersToRenew;
+    const auto wanted = workers.renewing.size() + waitingTasks(entry, group) + spareWorkers;
+    appendFirst(std::move(renewable), wanted, workers.renewing);
     workers.renewing.resize(std::min(workers.renewing.size(), entry.maxAdviceWorkers));
     workers.all = workers.renewing;
-    const auto limit = std::min(workersPerRequest, entry.maxAdviceWorkers);
-    for (std::size_t n = 0; n < undecided.size() && workers.all.size() < limit; ++n) {
-        workers.all.push_back(std::move(undecided[n].second));
-    }
+    appendFirst(std::move(undecided), std::min(workersPerRequest, entry.maxAdviceWorkers), workers.all);
     return workers;
 }
 
+/** Returns the ids of the workers that are still in the table. */
+std::vector<std::string> idsOf(const Entry &entry, const std::vector<WorkerRef> &workers)
+{
+    std::vector<std::string> ids;
+    ids.reserve(workers.size());
+    for (const auto worker : workers) {
+        if (entry.workers.table.contains(worker)) {
+            ids.push_back(entry.workers.table.get<WorkerIdentity>(worker).id);
+        }
+    }
+    return ids;
+}
+
 /** Returns the estimated time that the service takes for a request, in milliseconds. */
 double requestCostMs(const Entry &entry, GroupRef group, std::size_t workers)
 {
@@ -145,7 +175,7 @@
     const bool isOwn = relay->first == entry.settings.name;
     request.relay = isOwn ? std::string() : entry.ownership.daemons[relay->first].peerAddress;
     request.step = nameOf(entry, entry.work.groups.get<GroupState>(group).tasks.front());
-    request.workers = workers.all;
+    request.workers = idsOf(entry, workers.all);
     request.timeout = Milliseconds(static_cast<std::int64_t>(costMs + relay->second.pendingMs)) + responseSlack;
     auto &advice = entry.work.groups.get<GroupAdvice>(group);
     advice.pendingNumber = request.number;
@@ -175,18 +205,19 @@
 {
     auto &advice = entry.work.groups.get<GroupAdvice>(request.group);
     const auto validity = policyOf(entry, request.group).advice.validity;
-    const auto incarnationOf = [&](const std::string &id) {
-        const auto it = entry.workers.byId.find(id);
-        return it == entry.workers.byId.end() ? 0 : entry.workers.table.get<WorkerLink>(it->second).incarnation;
-    };
-    for (const auto &id : request.workers) {
-        advice.tickets[id] = {};
+    for (const auto worker : request.workers) {
+        if (entry.workers.table.contains(worker)) {
+            storeTicket(advice, worker, {});
+        }
     }
     if (!response.granted.empty()) {
         advice.validUntil = std::max(advice.validUntil, response.sentAt + validity);
     }
     for (const auto &row : response.granted) {
-        advice.tickets[row.worker] = {true, row.ticket, response.sentAt + validity, incarnationOf(row.worker)};
+        if (const auto it = entry.workers.byId.find(row.worker); it != entry.workers.byId.end()) {
+            const auto incarnation = entry.workers.table.get<WorkerLink>(it->second).incarnation;
+            storeTicket(advice, it->second, {true, row.ticket, response.sentAt + validity, incarnation});
+        }
     }
 }
 
@@ -225,6 +256,9 @@
 
 void adviceRequestSystem(Entry &entry, const TickTime &time)
 {
+    if (!entry.advice.renewals.empty() || !entry.advice.needed.empty() || !entry.advice.prefetch.empty()) {
+        addRelays(entry);
+    }
     std::erase_if(entry.advice.renewals, [&](GroupRef group) {
         if (!entry.work.groups.contains(group)) {
             return true;
--- a/src/dispatch/systems/order.cpp
+++ b/src/dispatch/systems/order.cpp
@@ -61,7 +61,7 @@
 }
 
 /** Returns the ticket that allows a worker to run the tasks of a group; null when there is no valid one. */
-const Ticket *ticketFor(const Entry &entry, GroupRef group, const std::string &worker, const TickTime &time)
+const Ticket *ticketFor(const Entry &entry, GroupRef group, WorkerRef worker, const TickTime &time)
 {
     const auto &tickets = entry.work.groups.get<GroupAdvice>(group).tickets;
     const auto it = tickets.find(worker);
@@ -72,7 +72,7 @@
  * Queues a request to renew the ticket that allows a worker to run the tasks of a group.
  * @return False when the group has no granted ticket for the worker, valid or expired, so that nothing was queued.
  */
-bool queueTicketRenewal(Entry &entry, GroupRef group, const std::string &worker)
+bool queueTicketRenewal(Entry &entry, GroupRef group, WorkerRef worker)
 {
     auto &advice = entry.work.groups.get<GroupAdvice>(group);
     const auto it = advice.tickets.find(worker);
@@ -98,11 +98,11 @@
     auto &state = entry.work.runs.get<RunState>(run);
     const auto &worker = entry.workers.table.get<WorkerIdentity>(identity.worker);
     const auto group = entry.work.tasks.get<TaskIdentity>(identity.task).group;
-    const auto *ticket = ticketFor(entry, group, worker.id, time);
+    const auto *ticket = ticketFor(entry, group, identity.worker, time);
     const bool lacksTicket = policyOf(entry, group).advice.required && !ticket;
     if (lacksTicket && state.startsSent == 0) {
         state.sendAt = time.now + ticketPause;
-        if (!queueTicketRenewal(entry, group, worker.id)) {
+        if (!queueTicketRenewal(entry, group, identity.worker)) {
             discardRun(entry, run, time);
         }
         return;
--- a/src/dispatch/systems/placement.cpp
+++ b/src/dispatch/systems/placement.cpp
@@ -115,6 +115,11 @@
     auto &pass = entry.work.pass;
     ++pass.number;
     pass.pools = poolsOfPass(entry, time);
+    for (const auto &pool : pass.pools) {
+        for (const auto worker : pool.workers) {
+            entry.workers.table.get<WorkerHealth>(worker).acceptsInPass = pass.number;
+        }
+    }
     pass.unplaceable.clear();
     pass.largeReservations = 0;
 }
@@ -191,9 +196,9 @@
         }
         const bool isNew = entry.work.groups.get<GroupAdvice>(group).requestCount == 0;
         const bool isPending = entry.work.groups.get<GroupAdvice>(group).pendingNumber != 0;
-        const bool needsAdvice = policyOf(entry, group).advice.required && (isNew || placer.lacksTickets())
-            && !isPending && entry.advice.needed.size() < maxNeededGroups && !placer.isAtLimit();
-        if (needsAdvice && hasWaiting(entry, group)) {
+        const bool mayNeedAdvice = policyOf(entry, group).advice.required && !isPending
+            && entry.advice.needed.size() < maxNeededGroups && !placer.isAtLimit() && hasWaiting(entry, group);
+        if (mayNeedAdvice && (isNew || placer.lacksTickets())) {
             entry.advice.needed.push_back(group);
         }
         placer.reserveCapacity();
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/policy/order_pacing.h"
 #include "dispatch/systems/systems.h"
 #include "dispatch/table/dispatch_table.h"
+#include "dispatch/ticket_func.h"
 #include "dispatch/work_func.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -378,8 +379,7 @@
     } else if (result == OrderResult::NoCapacity) {
         health.avoidUntil = std::max(health.avoidUntil, time.now + fullPause);
     } else if (result == OrderResult::NoTicket) {
-        entry.work.groups.get<GroupAdvice>(group).tickets.erase(
-            entry.workers.table.get<WorkerIdentity>(identity.worker).id);
+        forgetTicket(entry.work.groups.get<GroupAdvice>(group), identity.worker);
     } else if (result == OrderResult::Unhealthy) {
         health.avoidUntil = std::max(health.avoidUntil, time.now + unhealthyPause);
     } else if (result == OrderResult::Malformed) {
--- a/src/dispatch/work_base.h
+++ b/src/dispatch/work_base.h
@@ -80,14 +80,16 @@
 
 /** Decisions of the policy service about the workers for a group. */
 struct GroupAdvice {
-    absl::flat_hash_map<std::string, Ticket> tickets; ///< By the id of the worker.
+    absl::flat_hash_map<WorkerRef, Ticket> tickets; ///< Of the workers that the service has decided on.
+    std::vector<WorkerRef> granted; ///< Workers whose ticket was granted, even if it has expired since.
     MonotonicTime validUntil{}; ///< No ticket is valid after this time.
     std::uint64_t pendingNumber = 0; ///< Number of the request in flight; zero for none.
     std::uint32_t requestCount = 0; ///< Number of requests sent for the group.
     MonotonicTime respondedAt{}; ///< When the last response arrived; zero before.
     Milliseconds timeWithoutTickets{0}; ///< How long the group was open without a valid ticket, until `respondedAt`.
-    std::vector<std::string> workersToRenew; ///< Ids of workers whose ticket expired before a placed run was started.
-    std::vector<std::string> renewing; ///< Ids of the workers whose tickets the request in flight renews.
+    std::vector<WorkerRef> workersToRenew; ///< Workers whose ticket expired before a placed run was started.
+    std::vector<WorkerRef> renewing; ///< Workers whose tickets the request in flight renews.
+    MonotonicTime searchAt{}; ///< Workers to ask about are not searched before this time, as none was found.
 };
 
 using GroupTable = Table<GroupTag, GroupIdentity, GroupState, GroupAdvice>;
@@ -145,14 +147,6 @@
 
 using RunTable = Table<RunTag, RunIdentity, RunState>;
 
-/** Hashes the reference to a job. */
-struct JobRefHash {
-    std::size_t operator()(JobRef ref) const
-    {
-        return absl::Hash<std::uint64_t>{}((std::uint64_t{ref.generation} << 32U) | ref.index);
-    }
-};
-
 /** A demand for which no worker has free capacity in the current pass, so that larger demands are not tried. */
 struct UnplaceableDemand {
     std::string pool;
@@ -164,6 +158,7 @@
 struct PassPool {
     std::string name; ///< Name of the pool.
     std::vector<WorkerRef> workers;
+    Resources mostFree; ///< Of each resource, the most that any of the workers had free at the start of the pass.
 };
 
 /** One placement pass over the waiting groups. */
@@ -182,7 +177,7 @@
     GroupTable groups;
     TaskTable tasks;
     RunTable runs;
-    absl::flat_hash_map<JobRef, std::vector<OccurrenceRef>, JobRefHash> byJob;
+    absl::flat_hash_map<JobRef, std::vector<OccurrenceRef>> byJob;
     absl::flat_hash_map<TaskName, RunRef> runByTask;
     absl::flat_hash_map<std::string, Resources> teamUse; ///< Resources that the runs of each team use.
     std::vector<GroupRef> waitingGroups; ///< Open groups with waiting tasks; each pass sorts them.
--- a/src/dispatch/worker_base.h
+++ b/src/dispatch/worker_base.h
@@ -44,6 +44,7 @@
     MonotonicTime earliestRemovalAt{}; ///< While draining: the worker is not removed before this time.
     std::uint32_t failedInRow = 0; ///< Consecutive failed runs, counted up to 2; reset by a run that was done.
     MonotonicTime avoidUntil{}; ///< The worker gets no tasks before this time.
+    std::uint64_t acceptsInPass = 0; ///< Number of the last placement pass in which the worker accepted tasks.
     /** The worker gets no tasks before this time, so that a crash shows whether the task placed last was the cause. */
     MonotonicTime exclusiveUntil{};
 };
--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -242,8 +242,10 @@
         response.failed = m_world.requestsToFail > 0 || isTooLong;
         m_world.requestsToFail -= response.failed && !isTooLong ? 1 : 0;
         response.sentAt = now();
+        const auto refused = m_world.refusedByJob.find(request.step.job);
         for (const auto &it : request.workers) {
-            if (!m_world.refusedWorkers.contains(it)) {
+            const bool isRefused = refused != m_world.refusedByJob.end() && refused->second.contains(it);
+            if (!isRefused && !m_world.refusedWorkers.contains(it)) {
                 response.granted.push_back({it, "ticket of " + it});
             }
         }
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -195,7 +195,12 @@
         return;
     }
     WorldPorts ports(*this, daemon);
+    const auto examined = it.entry.counters.workersExamined;
     runTickSafely(it.entry, ports, ports, ports, ports, ports, ports, ports);
+    if (const auto rate = examinationsPerMs.find(daemon); rate != examinationsPerMs.end()) {
+        const auto ms = (it.entry.counters.workersExamined - examined) / rate->second;
+        it.frozenUntil = m_queue.now() + Milliseconds{static_cast<std::int64_t>(ms)};
+    }
     if (const auto slow = tickTimes.find(daemon); slow != tickTimes.end()) {
         it.frozenUntil = m_queue.now() + slow->second;
     }
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -151,11 +151,14 @@
     std::map<std::size_t, LinkMode> linkModes; ///< By worker.
     std::map<std::size_t, std::deque<StopFault>> stopFaults; ///< By worker: faults of the next stop orders to it.
     std::map<std::size_t, Milliseconds> tickTimes; ///< How long a tick of a daemon takes, by daemon; else no time.
+    /** Workers that a daemon examines in a millisecond of its ticks, by daemon; else it examines any number at once. */
+    std::map<std::size_t, std::uint64_t> examinationsPerMs;
     std::set<std::size_t> daemonsWithoutConfig; ///< Indexes of the daemons whose reads of the configuration fail.
     std::set<std::size_t> daemonsWithoutWorkerList; ///< Indexes of the daemons whose reads of the list of workers fail.
     dispatch::Configuration configuration;
     std::vector<std::string> domainsOut;
     std::set<std::string> refusedWorkers; ///< Ids of the workers that get no ticket from the policy service.
+    std::map<dispatch::JobId, std::set<std::string>> refusedByJob; ///< The same, for the steps of one job.
     /** Response time of the policy service, by job; 20 ms for jobs that are not in the map. */
     std::map<dispatch::JobId, Milliseconds> adviceTimes;
     std::set<std::size_t> daemonsWithError; ///< The next read of the journal by such a daemon throws, once.
