Let groups that are too late take turns

Cause: groups that are too late to be useful kept the order by priority among themselves. Those that find no room asked the policy service again each time their tickets expired; 64 of them filled the list of groups to ask about and their long requests all relays, so that whatever sorted after them was never asked about. Class: starvation by strict priority, with retries that never succeed in front.

Change: such groups take turns, 32 a pass, and wait in a queue of their own for requests, first come, first served. It uses half of the relays at most, a quarter while more urgent groups wait for one. The list of urgent groups is kept until the next pass, so that these get the next free relay.

Evidence: groupsThatAreTooLateTakeTurns: 400 gangs that never fit, and a task whose first run fails; it was not started again within 12 s before, and is now.

--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -176,6 +176,7 @@
     std::string relay; ///< Name of the daemon that sends it to the service.
     std::vector<WorkerRef> workers; ///< The workers in the request.
     double costMs = 0; ///< Estimated time that the service takes for the request, in milliseconds.
+    bool isOfBacklog = false; ///< The group was in AdviceState::backlog.
 };
 
 /** Requests to the policy service: those in flight and the groups that need one. */
@@ -183,7 +184,8 @@
     std::uint64_t nextNumber = 1; ///< Number of the next request.
     absl::flat_hash_map<std::uint64_t, PendingAdvice> pending; ///< By the request's number.
     std::map<std::string, Relay> relays; ///< By the daemon's name.
-    std::vector<GroupRef> needed; ///< Groups that need advice, most urgent first.
+    std::vector<GroupRef> needed; ///< Groups that needed advice in the last pass and have none yet, most urgent first.
+    std::deque<GroupRef> backlog; ///< Groups that need advice, but are too late to be useful; first come, first served.
     std::vector<GroupRef> prefetch; ///< Groups that will open soon and have had no request yet.
     /** Groups with placed runs whose tickets have expired; their requests are sent first. */
     std::vector<GroupRef> renewals;
--- a/src/dispatch/policy/group_order.h
+++ b/src/dispatch/policy/group_order.h
@@ -16,6 +16,7 @@
     MonotonicTime objectiveAt{}; ///< Time by which the occurrence should be done.
     Timeliness timeliness = Timeliness::InTime;
     bool endless = false;
+    std::uint64_t visitedInPass = 0; ///< Number of the last pass that tried to place the group; zero for none.
 };
 
 /** A sort order of groups. T::key() returns a key for a group; groups with lower keys are placed first. */
@@ -29,14 +30,16 @@
 
 /**
  * Sorts by, in this order: groups that are too late last, priority, endless steps first, timeliness, the team that uses
- * least of its share first, the earliest objective first.
+ * least of its share first, the earliest objective first. Groups that are too late take turns, so that those that find
+ * no place keep no others from theirs.
  */
 struct FairOrder {
     static auto key(const GroupView &view)
     {
         const bool isTooLate = view.timeliness == Timeliness::TooLate;
+        const auto turn = isTooLate ? view.visitedInPass : 0;
         return std::tuple(
-            isTooLate, view.priority, view.endless ? 0 : 1, view.timeliness, view.usePerShare, view.objectiveAt);
+            isTooLate, turn, view.priority, view.endless ? 0 : 1, view.timeliness, view.usePerShare, view.objectiveAt);
     }
 };
 
--- a/src/dispatch/systems/advice.cpp
+++ b/src/dispatch/systems/advice.cpp
@@ -151,6 +151,12 @@
     return ids;
 }
 
+/** Returns true if a group is in the tables and has tasks that wait to be placed. */
+bool isWaiting(const Entry &entry, GroupRef group)
+{
+    return entry.work.groups.contains(group) && waitingTasks(entry, group) > 0;
+}
+
 /** Returns the estimated time that the service takes for a request, in milliseconds. */
 double requestCostMs(const Entry &entry, GroupRef group, std::size_t workers)
 {
@@ -187,7 +193,7 @@
     ++relay->second.requestsInFlight;
     relay->second.pendingMs += costMs;
     ++entry.counters.adviceRequests;
-    entry.advice.pending[request.number] = {group, relay->first, std::move(workers.all), costMs};
+    entry.advice.pending[request.number] = {group, relay->first, std::move(workers.all), costMs, false};
     entry.outbox.adviceRequests.push_back(std::move(request));
 }
 
@@ -200,6 +206,54 @@
     }
 }
 
+/** Sends requests for the groups that need them, most urgent first. Those for which no relay is free stay listed. */
+void sendNeeded(Entry &entry, const TickTime &time)
+{
+    std::erase_if(entry.advice.needed, [&](GroupRef group) {
+        if (!isWaiting(entry, group) || entry.work.groups.get<GroupAdvice>(group).pendingNumber != 0) {
+            return true;
+        }
+        sendRequest(entry, group, time);
+        return entry.work.groups.get<GroupAdvice>(group).pendingNumber != 0;
+    });
+}
+
+/** Returns the number of requests for groups of the backlog that may be in flight. */
+std::size_t backlogLimit(const AdviceState &advice, const TickTime &time)
+{
+    const auto usable =
+        std::ranges::count_if(advice.relays, [&](const auto &it) { return time.now >= it.second.avoidUntil; });
+    const std::size_t part = advice.needed.empty() ? 2 : 4; // others that wait for a relay go first
+    return std::max<std::size_t>(1, static_cast<std::size_t>(usable) / part);
+}
+
+/** Sends requests for the groups of the backlog, first come, first served, as far as relays may be used for them. */
+void sendBacklog(Entry &entry, const TickTime &time)
+{
+    auto &advice = entry.advice;
+    const auto limit = backlogLimit(advice, time);
+    auto inFlight = static_cast<std::size_t>(
+        std::ranges::count_if(advice.pending, [](const auto &it) { return it.second.isOfBacklog; }));
+    while (!advice.backlog.empty() && inFlight < limit) {
+        const auto group = advice.backlog.front();
+        if (isWaiting(entry, group) && !findRelay(entry, requestCostMs(entry, group, 1), time)) {
+            return; // those behind it wait for their turn
+        }
+        advice.backlog.pop_front();
+        if (!entry.work.groups.contains(group)) {
+            continue;
+        }
+        auto &groupAdvice = entry.work.groups.get<GroupAdvice>(group);
+        groupAdvice.isQueued = false;
+        if (isWaiting(entry, group) && groupAdvice.pendingNumber == 0) {
+            sendRequest(entry, group, time);
+        }
+        if (const auto it = advice.pending.find(groupAdvice.pendingNumber); it != advice.pending.end()) {
+            inFlight += std::exchange(it->second.isOfBacklog, true) ? 0 : 1;
+        }
+    }
+}
+
 /** Stores a ticket for each granted worker of a request, and a refusal for each of the others. */
 void storeTickets(Entry &entry, const PendingAdvice &request, const AdviceResponse &response)
 {
@@ -256,7 +310,8 @@
 
 void adviceRequestSystem(Entry &entry, const TickTime &time)
 {
-    if (!entry.advice.renewals.empty() || !entry.advice.needed.empty() || !entry.advice.prefetch.empty()) {
+    if (!entry.advice.renewals.empty() || !entry.advice.needed.empty() || !entry.advice.prefetch.empty()
+        || !entry.advice.backlog.empty()) {
         addRelays(entry);
     }
     std::erase_if(entry.advice.renewals, [&](GroupRef group) {
@@ -268,12 +323,7 @@
         }
         return entry.work.groups.get<GroupAdvice>(group).workersToRenew.empty();
     });
-    for (const auto group : entry.advice.needed) {
-        if (entry.work.groups.get<GroupAdvice>(group).pendingNumber != 0) {
-            continue;
-        }
-        sendRequest(entry, group, time);
-    }
+    sendNeeded(entry, time);
     std::erase_if(entry.advice.prefetch, [&](GroupRef group) {
         if (!entry.work.groups.contains(group)) {
             return true;
@@ -284,6 +334,7 @@
         }
         return advice.requestCount > 0 || entry.work.groups.get<GroupState>(group).open;
     });
+    sendBacklog(entry, time);
 }
 
 } // namespace flamingotally::dispatch
--- a/src/dispatch/systems/placement.cpp
+++ b/src/dispatch/systems/placement.cpp
@@ -5,6 +5,7 @@
 #include "dispatch/systems/systems.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace flamingotally::dispatch
 {
@@ -20,6 +21,8 @@
 constexpr Milliseconds unstoredLimit{500};
 /** Maximum number of groups for which a pass requests advice; tickets for more groups would expire unused. */
 constexpr std::size_t maxNeededGroups = 64;
+/** Number of groups that are too late which a pass tries to place; they take turns. */
+constexpr std::size_t tooLateGroupsPerPass = 32;
 constexpr Milliseconds passInterval{10}; ///< Minimum time between two placement passes.
 
 /**
@@ -45,6 +48,7 @@
     GroupView view;
     view.priority = policy.priority;
     view.endless = step.endless;
+    view.visitedInPass = entry.work.groups.get<GroupState>(group).visitedInPass;
     const auto &team = entry.jobs.table.get<JobIdentity>(identity.job).team;
     const auto &config = entry.config;
     if (const auto it = config.teamByName.find(team); it != config.teamByName.end()) {
@@ -151,12 +155,45 @@
              entry.config.current.version);
 }
 
+/** Has a request sent to the policy service for a group, at once or when it is its turn. */
+void requestAdvice(Entry &entry, GroupRef group, bool isUseful)
+{
+    if (isUseful) {
+        if (entry.advice.needed.size() < maxNeededGroups) {
+            entry.advice.needed.push_back(group);
+        }
+    } else if (!std::exchange(entry.work.groups.get<GroupAdvice>(group).isQueued, true)) {
+        entry.advice.backlog.push_back(group);
+    }
+}
+
+/**
+ * Places tasks of a group; for the others, asks for tickets or reserves capacity where that can help.
+ * @param isUseful The group is not too late to be useful.
+ */
+void visitGroup(Entry &entry, GroupRef group, bool isUseful, const TickTime &time)
+{
+    entry.work.groups.get<GroupState>(group).visitedInPass = entry.work.pass.number;
+    Placer<FitChoice> placer(entry, group, time);
+    if (const auto placed = placer.place(); placed > 0) {
+        logPlacement(entry, group, placed, time);
+    }
+    const bool isNew = entry.work.groups.get<GroupAdvice>(group).requestCount == 0;
+    const bool isPending = entry.work.groups.get<GroupAdvice>(group).pendingNumber != 0;
+    const bool mayNeedAdvice =
+        policyOf(entry, group).advice.required && !isPending && !placer.isAtLimit() && hasWaiting(entry, group);
+    if (mayNeedAdvice && (isNew || placer.lacksTickets())) {
+        requestAdvice(entry, group, isUseful);
+    }
+    placer.reserveCapacity();
+}
+
 } // namespace
 
 void placementSystem(Entry &entry, const TickTime &time)
 {
-    entry.advice.needed.clear();
     if (!mayStart(entry, time)) {
+        entry.advice.needed.clear();
         return;
     }
     const auto &writer = entry.writer(JournalWriter::Owner);
@@ -186,22 +223,15 @@
     entry.work.passAt = time.now + passInterval + Milliseconds(entry.work.waitingGroups.size() / groupsPerMillisecond);
     entry.work.fullPassAt = time.now + fullPassInterval;
     entry.work.passRequested = false;
+    entry.advice.needed.clear();
     removeGroupsNotWaiting(entry);
     sortWaitingGroups<FairOrder>(entry, time);
     beginPass(entry, time);
-    for (const auto group : entry.work.waitingGroups) {
-        Placer<FitChoice> placer(entry, group, time);
-        if (const auto placed = placer.place(); placed > 0) {
-            logPlacement(entry, group, placed, time);
-        }
-        const bool isNew = entry.work.groups.get<GroupAdvice>(group).requestCount == 0;
-        const bool isPending = entry.work.groups.get<GroupAdvice>(group).pendingNumber != 0;
-        const bool mayNeedAdvice = policyOf(entry, group).advice.required && !isPending
-            && entry.advice.needed.size() < maxNeededGroups && !placer.isAtLimit() && hasWaiting(entry, group);
-        if (mayNeedAdvice && (isNew || placer.lacksTickets())) {
-            entry.advice.needed.push_back(group);
-        }
-        placer.reserveCapacity();
+    const auto &groups = entry.work.waitingGroups;
+    const auto tooLate = entry.work.pass.groupsWaiting[static_cast<std::size_t>(Timeliness::TooLate)];
+    const auto useful = groups.size() - tooLate; // those that are too late are sorted last
+    for (std::size_t n = 0; n < std::min(groups.size(), useful + tooLateGroupsPerPass); ++n) {
+        visitGroup(entry, groups[n], /*isUseful=*/n < useful, time);
     }
     endPass(entry);
     removeGroupsNotWaiting(entry);
--- a/src/dispatch/work_base.h
+++ b/src/dispatch/work_base.h
@@ -64,6 +64,7 @@
     RunNumber failedRun = 0; ///< For a gang: number of the last run that was counted in `failures`.
     /** For a gang: number of the last run that was counted in the `crashWeight` of its members. */
     RunNumber crashedRun = 0;
+    std::uint64_t visitedInPass = 0; ///< Number of the last pass that tried to place it; zero before.
     MonotonicTime openedAt{}; ///< When the group was opened; zero before.
     MonotonicTime doneAt{}; ///< When the last task was done; zero before.
     StageTimes stages{}; ///< Of the task that was done last, from the opening of the group on.
@@ -85,6 +86,7 @@
     MonotonicTime validUntil{}; ///< No ticket is valid after this time.
     std::uint64_t pendingNumber = 0; ///< Number of the request in flight; zero for none.
     std::uint32_t requestCount = 0; ///< Number of requests sent for the group.
+    bool isQueued = false; ///< The group is in AdviceState::backlog.
     MonotonicTime respondedAt{}; ///< When the last response arrived; zero before.
     Milliseconds timeWithoutTickets{0}; ///< How long the group was open without a valid ticket, until `respondedAt`.
     std::vector<WorkerRef> workersToRenew; ///< Workers whose ticket expired before a placed run was started.
--- a/tests/dispatch_backlog_test.cpp
+++ b/tests/dispatch_backlog_test.cpp
@@ -33,6 +33,12 @@
     urgent.policy.targetLatency = Milliseconds{250};
     urgent.policy.advice = {true, 20, 0.3, Milliseconds{2'000}};
     configuration.queues.push_back(urgent);
+    auto slow = configuration.queues[0];
+    slow.name = "g";
+    slow.pathPrefix = "/g/";
+    slow.policy.priority = 1;
+    slow.policy.advice = {true, 200, 1, Milliseconds{2'000}};
+    configuration.queues.push_back(slow);
     world.publish(configuration);
 }
 
@@ -70,6 +76,7 @@
 {
     CPPUNIT_TEST_SUITE(DispatchBacklogTest);
     CPPUNIT_TEST(urgentJobsEndInTimeBesideABacklogOnASlowHost);
+    CPPUNIT_TEST(groupsThatAreTooLateTakeTurns);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -98,6 +105,36 @@
         CPPUNIT_ASSERT_GREATEREQUAL(std::ptrdiff_t{urgentJobs * 95 / 100}, endedInTime(world, firstFreshJob));
         assertNoViolations(world);
     }
+
+    /**
+     * Work that was too late kept its order by priority. Gangs that found no room asked for tickets again and again,
+     * so that a later task was never asked about and waited beside free workers until the end.
+     */
+    void groupsThatAreTooLateTakeTurns()
+    {
+        constexpr JobId gangs = 400;
+        constexpr JobId last = gangs + 1;
+        DispatchWorld world(20, 40);
+        requireTickets(world);
+        world.run(settleTime);
+        auto gang = plainStep(4);
+        gang.gang = true;
+        gang.perTask = world.worker(0).capacity();
+        for (JobId job = 1; job <= gangs; ++job) {
+            for (std::size_t n = 3; n < 40; ++n) {
+                world.refusedByJob[job].insert(fmt::format("w{}", n)); // three workers may run the four members
+            }
+            world.adviceTimes[job] = Milliseconds{200};
+            world.submitTo("/g/", 0, job, jobOf({gang}));
+        }
+        world.run(Milliseconds{5'000});
+        world.adviceTimes[last] = Milliseconds{140};
+        world.scripts[{last, 0, 0, 0}] = {{Milliseconds{2'500}, RunEnd::Failed}, {Milliseconds{100}, RunEnd::Done}};
+        world.submit(0, last, jobOf({plainStep(1)}));
+        world.run(Milliseconds{12'000}); // 400 requests of 0.2 s, ten at a time, go before its second one
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.startsOf({last, 0, 0, 0}));
+        assertNoViolations(world);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchBacklogTest);
