Count no tick as late for a time that had passed when it was asked for

Cause: while an append got no answer, the owner's next heartbeat was due in the past, and each tick asked to be woken then. The delay of ticks was measured from that time, up to 300 ms each, so the owner took itself for overloaded and released a cell that nobody could claim. Class: a measure of delay that counts from a time that was never promised.

Change: a tick is late by the time since it was asked for, or since the tick that asked if that was later. Evidence: silentStoreIsNoOverload: no owner half a second after the store was back before, the same owner now.

--- a/src/dispatch/systems/tick.cpp
+++ b/src/dispatch/systems/tick.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/systems/systems.h"
 
+#include <algorithm>
+
 namespace flamingotally::dispatch
 {
 
@@ -26,7 +28,8 @@
 void tick(Entry &entry, const TickTime &time)
 {
     ++entry.counters.ticks;
-    entry.dueTickAt = entry.nextWake == MonotonicTime{} ? time.now : entry.nextWake;
+    // a system that asked for a time in the past was not delayed by that
+    entry.dueTickAt = entry.nextWake == MonotonicTime{} ? time.now : std::max(entry.nextWake, entry.tickedAt);
     entry.nextWake = time.now + longestSleep;
     wallClockSystem(entry, time);
     configSystem(entry, time);
--- a/tests/dispatch_overload_test.cpp
+++ b/tests/dispatch_overload_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(survivesAnUnexpectedError);
     CPPUNIT_TEST(slowOwnerHandsOverOnce);
     CPPUNIT_TEST(ownerThatWasPausedBrieflyStays);
+    CPPUNIT_TEST(silentStoreIsNoOverload);
     CPPUNIT_TEST(writesEndsOfOneStepTogether);
     CPPUNIT_TEST(remembersEndsThatWereNotWrittenYet);
     CPPUNIT_TEST(startsEachRunOnceOverANarrowLink);
@@ -74,6 +75,31 @@
         assertNoViolations(world);
     }
 
+    /**
+     * While the store was silent, the next heartbeat had been due for long, which counted as a late tick. The owner
+     * took itself for overloaded and released the cell, which nobody could claim before the store was back.
+     */
+    void silentStoreIsNoOverload()
+    {
+        DispatchWorld world(3, 2);
+        world.run(settleTime);
+        const auto owner = world.owner().value();
+        world.storeDelay = Milliseconds{400}; // so that appends are given more time
+        world.run(Milliseconds{4'000});
+        for (std::size_t n = 0; n < 3; ++n) {
+            world.storeModes[n] = StoreMode::Silent;
+        }
+        world.run(Milliseconds{4'000});
+        for (std::size_t n = 0; n < 3; ++n) {
+            world.storeModes[n] = StoreMode::Up;
+        }
+        world.storeDelay = Milliseconds{0};
+        world.run(Milliseconds{500});
+        CPPUNIT_ASSERT(world.owner() == std::optional(owner));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world.entry(owner).counters.resignations);
+        assertNoViolations(world);
+    }
+
     /** The progress of a job was written at each end of one of its tasks, and all daemons read it as often. */
     void writesEndsOfOneStepTogether()
     {
