Follow the list of workers past odd entries, and use none of them

Operators of similar systems saw their machines end, or stop following the list, after another writer had left one odd entry.

An odd entry in place of a good one was skipped, so that the old one stayed in use; a port out of range or an absurd capacity was taken as it was and drew work. Class: data of another writer used without a check.

--- a/src/dispatch/message_type.h
+++ b/src/dispatch/message_type.h
@@ -32,7 +32,8 @@
     Resources capacity;
     bool draining = false; ///< The worker will be removed.
     Milliseconds remaining{0}; ///< While draining: minimum time that is left until the worker is removed.
-    bool removed = false; ///< The entry was removed; only `id` is valid.
+    bool removed = false; ///< The entry was removed or cannot be used; only `id` and `expected` are valid.
+    std::string expected; ///< For an entry that cannot be used, of which `id` may have any bytes: what was expected.
 };
 
 /** Response to a read of the list of workers. */
--- a/src/dispatch/systems/worker_list.cpp
+++ b/src/dispatch/systems/worker_list.cpp
@@ -45,6 +45,36 @@
     entry.workers.table.get<WorkerHealth>(worker).listed = false;
 }
 
+/** Logs, once, that an entry cannot be used. */
+void logMalformed(Entry &entry, const WorkerListing &listing)
+{
+    constexpr std::size_t maxRemembered = 10'000; // nothing is logged of further ones
+    auto &malformed = entry.workers.malformed;
+    if (malformed.size() < maxRemembered && malformed.insert(listing.id).second) {
+        logEvent(entry,
+                 EventKind::WorkerMalformed,
+                 0,
+                 "key={:?} expected=\"{}\"",
+                 std::string_view(listing.id),
+                 listing.expected);
+    }
+}
+
+/** Applies one change of the list. A worker whose entry was removed or cannot be used gets no more tasks. */
+void applyChange(Entry &entry, const WorkerListing &listing, const TickTime &time)
+{
+    if (!listing.expected.empty()) {
+        logMalformed(entry, listing);
+    } else {
+        entry.workers.malformed.erase(listing.id);
+    }
+    if (!listing.removed) {
+        applyListing(entry, listing, time);
+    } else if (const auto it = entry.workers.byId.find(listing.id); it != entry.workers.byId.end()) {
+        unlist(entry, it->second);
+    }
+}
+
 /** Marks all workers as no longer listed that a complete list does not contain. */
 void unlistMissing(Entry &entry, const WorkerListRead &read)
 {
@@ -86,11 +116,7 @@
             unlistMissing(entry, read);
         }
         for (const auto &listing : read.changes) {
-            if (!listing.removed) {
-                applyListing(entry, listing, time);
-            } else if (const auto it = entry.workers.byId.find(listing.id); it != entry.workers.byId.end()) {
-                unlist(entry, it->second);
-            }
+            applyChange(entry, listing, time);
         }
     }
     eraseUnlisted(entry, time);
--- a/src/dispatch/worker_base.h
+++ b/src/dispatch/worker_base.h
@@ -6,6 +6,7 @@
 #include "dispatch/job_type.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <array>
 #include <deque>
@@ -104,6 +105,7 @@
 struct Workers {
     WorkerTable table;
     absl::flat_hash_map<std::string, WorkerRef> byId;
+    absl::flat_hash_set<std::string> malformed; ///< Ids of the entries in the list that cannot be used.
     MonotonicTime asOf{}; ///< The table includes everything that was in the list before this time.
     OrderPacing pacing;
     WorkerSilence silence;
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -428,6 +428,14 @@
     publishListing(n);
 }
 
+void DispatchWorld::listMalformed(std::size_t n, std::string expected)
+{
+    m_workers[n].listing.removed = true;
+    m_workers[n].listing.expected = std::move(expected);
+    publishListing(n);
+    m_workers[n].listing.expected.clear();
+}
+
 void DispatchWorld::setCapacity(std::size_t n, const Resources &capacity)
 {
     m_workers[n].listing.capacity = capacity;
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -121,6 +121,9 @@
     /** Publishes the entry of a worker in the list of workers anew, as draining or not. */
     void listWorker(std::size_t n, bool draining);
 
+    /** Replaces the entry of a worker in the list of workers by one that cannot be used. */
+    void listMalformed(std::size_t n, std::string expected);
+
     /** Publishes the entry of a worker in the list of workers anew, with another capacity. */
     void setCapacity(std::size_t n, const Resources &capacity);
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -8,6 +8,7 @@
 #include "net_fixture.h"
 #include "platform_standin.h"
 #include "store_client.h"
+#include "worker_entry_codec.h"
 
 #include <boost/json.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -295,10 +296,10 @@
             "i-1",
             R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining","remainingMs":900,"born":5,
                 "capacity":{"cpu":1000,"memMb":2,"gpu":1},"labels":["a","r1"],"newField":[]})");
-        CPPUNIT_ASSERT(worker.has_value());
+        CPPUNIT_ASSERT(worker.ok());
         CPPUNIT_ASSERT(worker->draining && worker->remaining == Milliseconds{900});
         CPPUNIT_ASSERT_EQUAL(std::string("r1"), worker->rack);
-        CPPUNIT_ASSERT(!platform::decodeWorker("i-1", R"({"address":"10.0.0.1:80","state":"ready"})").has_value());
+        CPPUNIT_ASSERT(!platform::decodeWorker("i-1", R"({"address":"10.0.0.1:80","state":"ready"})").ok());
         CPPUNIT_ASSERT(!platform::decodeConfiguration(R"({"routes":[]})").has_value());
     }
 
