Take malformed numbers of workers, jobs and configurations for what they are

Looked for elsewhere after the odd entry: numbers of other writers used without a check.

Callers would have seen jobs that never end: a negative number of an end in a worker's report read as a huge one, after which all later ends of that worker counted as known; a time of birth that was text read as 1, a restart, which ended its runs. Durations and times of a job near the largest integer overflowed when they were added or multiplied.

Durations, times and demands of jobs and the terms of queues are bounded where they are read.

--- a/src/dispatch/message_type.h
+++ b/src/dispatch/message_type.h
@@ -97,6 +97,7 @@
     std::uint64_t incarnation = 0; ///< Changes when the worker restarts.
     std::vector<RunningRow> running;
     std::vector<EndRow> ended;
+    bool hasMalformedRows = false; ///< The report had rows that were skipped.
     MonotonicTime sentAt{};
     MonotonicTime receivedAt{};
 };
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -42,6 +42,7 @@
 constexpr std::uint32_t maxStartsSent = 6;
 /** Consecutive polls without a response after which a worker is unresponsive. */
 constexpr std::uint32_t unresponsiveAfter = 2;
+constexpr Milliseconds malformedRowPause{300}; ///< Pause before the next poll after a report with malformed rows.
 constexpr RunNumber runNumberSkip = 16; ///< Run numbers skipped when a worker rejects a run of a task as superseded.
 
 /** Counts consecutive failed runs on a worker; from `failuresInRow` on, each of them suspends placement there. */
@@ -340,7 +341,8 @@
     link.clock = response.clock;
     link.clockReadAt = response.receivedAt;
     updateLeaseExpiry(link);
-    link.pollAt = time.now;
+    // a worker answers at once as long as an end is not acknowledged, and one in a malformed row never is
+    link.pollAt = time.now + (response.hasMalformedRows ? malformedRowPause : Milliseconds{0});
     link.hasStrayRuns = false;
     absl::flat_hash_set<std::uint32_t> seen;
     applyRunning(entry, response, seen, time);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -134,6 +134,7 @@
 {
     CPPUNIT_TEST_SUITE(PlatformTest);
     CPPUNIT_TEST(readsNumbersOutOfRange);
+    CPPUNIT_TEST(boundsDurationsAndTimesOfAJob);
     CPPUNIT_TEST(runsAJobOfTwoSteps);
     CPPUNIT_TEST(rejectsUnknownNamesAndMalformedJobs);
     CPPUNIT_TEST(failsJobsThatFailOnEveryWorker);
@@ -170,6 +171,20 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, static_cast<std::int64_t>(spec->steps.at(0).runEstimate.count()));
     }
 
+    /** Durations and times of a job near the largest integer overflowed when they were added or multiplied. */
+    void boundsDurationsAndTimesOfAJob()
+    {
+        const auto spec = platform::decodeJob(
+            R"({"spec":"text","steps":[{"count":2,"cpu":9223372036854775807,"memMb":-5,"estRuntimeMs":9223372036854775807}],
+                "repetitions":100000,"firstRunMs":9223372036854775807,"intervalMs":9223372036854775807})");
+        CPPUNIT_ASSERT(spec.has_value());
+        constexpr std::int64_t far = std::int64_t{1} << 60;
+        CPPUNIT_ASSERT(spec->steps[0].runEstimate.count() > 0 && spec->steps[0].runEstimate.count() < far / 1'000'000);
+        CPPUNIT_ASSERT(spec->steps[0].perTask.cpuMilli > 0 && spec->steps[0].perTask.cpuMilli < far / 100'000);
+        CPPUNIT_ASSERT(spec->steps[0].perTask.memoryMb < 0);
+        CPPUNIT_ASSERT((spec->repetition.firstAt + spec->repetition.interval * 100'000).count() < far);
+    }
+
     void runsAJobOfTwoSteps()
     {
         PlatformFixture fixture(2);
