Send an append again once the store answers reads

Cause: each append without an answer doubled the estimate of the store's latency, so that the last one before the store was back waited up to 3 s for its answer, although reads were answered again. Class: a time-out that grew in an outage and outlives it.

Change: the append is sent again as soon as a read that was sent after it has been answered and it has waited for three usual latencies, half a second at least; the store knows repeats by their sequence number. Time-outs double on their own, and no longer change the estimate of the latency.

Evidence: ownerWritesSoonAfterASilentStoreIsBack: another owner before, the same one now, for silences of 3 to 5 s.

--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -139,7 +139,8 @@
     MonotonicTime madeAt{}; ///< When the newest batch was made.
     MonotonicTime sentAt{}; ///< When a batch was last sent.
     MonotonicTime sendAt{}; ///< No batch is sent before this time.
-    Milliseconds latency{20}; ///< Smoothed response time of the store.
+    Milliseconds latency{20}; ///< Smoothed time of the appends that were stored.
+    Milliseconds timeout{0}; ///< Time-out of the last append, which the next one at least doubles if it got no answer.
 };
 
 struct CallTag;
--- a/src/dispatch/systems/write_journal.cpp
+++ b/src/dispatch/systems/write_journal.cpp
@@ -72,6 +72,7 @@
     }
     ++writer.batchesStored;
     ++writer.sequence;
+    writer.timeout = Milliseconds{0};
     writer.batch.reset();
     writer.mayBeStored = false;
     if (which == JournalWriter::Owner) {
@@ -128,9 +129,7 @@
         }
         break;
     default:
-        // the outcome is unknown, perhaps because the time-out was too short, so the next one is longer
         writer.mayBeStored = true;
-        writer.latency = std::min<Milliseconds>(writer.latency * 2, longestTimeout / timeoutFactor);
         break;
     }
 }
@@ -174,6 +173,19 @@
     });
 }
 
+/**
+ * Returns true if the answer to the append in flight was probably lost: the store has answered a read that was sent a
+ * while after it. To send the append again is harmless, as the store knows its sequence number.
+ */
+bool isAnswerLost(const Entry &entry, const Writer &writer, const TickTime &time)
+{
+    constexpr Milliseconds shortestWait{500};
+    constexpr Milliseconds readMargin{200}; // between the sends of the append and of the read
+    constexpr int latencyFactor = 3;
+    const auto wait = std::max<Milliseconds>(shortestWait, writer.latency * latencyFactor);
+    return time.now - writer.sentAt > wait && entry.journal.asOf > writer.sentAt + readMargin;
+}
+
 /** Moves queued records into a new batch of the writer. */
 void makeBatch(Writer &writer, JournalWriter which)
 {
@@ -199,7 +211,10 @@
     writer.inFlight = true;
     writer.sentAt = time.now;
     writer.sendAt = time.now + entry.settings.appendPause;
-    writer.batch->timeout = std::clamp<Milliseconds>(writer.latency * timeoutFactor, shortestTimeout, longestTimeout);
+    // no answer to the last append can mean that its time-out was too short
+    const auto timeout = std::max<Milliseconds>(writer.latency * timeoutFactor, writer.timeout * 2);
+    writer.timeout = std::clamp(timeout, shortestTimeout, longestTimeout);
+    writer.batch->timeout = writer.timeout;
     ++entry.counters.batches;
     entry.outbox.batches.push_back(*writer.batch);
 }
@@ -218,6 +233,11 @@
     for (std::size_t n = 0; n < entry.writers.size(); ++n) {
         const auto which = static_cast<JournalWriter>(n);
         auto &writer = entry.writers[n];
+        if (writer.inFlight && isAnswerLost(entry, writer, time)) {
+            writer.inFlight = false;
+            writer.mayBeStored = true;
+            writer.timeout = Milliseconds{0};
+        }
         if (writer.inFlight) {
             continue;
         }
--- a/tests/dispatch_overload_test.cpp
+++ b/tests/dispatch_overload_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(slowOwnerHandsOverOnce);
     CPPUNIT_TEST(ownerThatWasPausedBrieflyStays);
     CPPUNIT_TEST(silentStoreIsNoOverload);
+    CPPUNIT_TEST(ownerWritesSoonAfterASilentStoreIsBack);
     CPPUNIT_TEST(writesEndsOfOneStepTogether);
     CPPUNIT_TEST(remembersEndsThatWereNotWrittenYet);
     CPPUNIT_TEST(startsEachRunOnceOverANarrowLink);
@@ -100,6 +101,30 @@
         assertNoViolations(world);
     }
 
+    /**
+     * After a silent store was back, the owner went on waiting for the answer to an append from before, for 3 s at
+     * most. Meanwhile it wrote nothing, so that another daemon claimed the cell, and nothing was placed.
+     */
+    void ownerWritesSoonAfterASilentStoreIsBack()
+    {
+        for (int silence = 3'000; silence < 5'000; silence += 250) {
+            DispatchWorld world(3, 2);
+            world.run(settleTime);
+            const auto owner = world.owner().value();
+            for (std::size_t n = 0; n < 3; ++n) {
+                world.storeModes[n] = StoreMode::Silent;
+            }
+            world.run(Milliseconds{silence});
+            for (std::size_t n = 0; n < 3; ++n) {
+                world.storeModes[n] = StoreMode::Up;
+            }
+            world.run(Milliseconds{3'000});
+            CPPUNIT_ASSERT(world.owner() == std::optional(owner));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world.entry(owner).counters.resignations);
+            assertNoViolations(world);
+        }
+    }
+
     /** The progress of a job was written at each end of one of its tasks, and all daemons read it as often. */
     void writesEndsOfOneStepTogether()
     {
