Ask the policy service about different workers for each group

Cause: each request names the 40 workers with the most free processor capacity, the same ones for all groups. The first group that was answered took them, and the others asked again. Class: a herd that makes the same choice from the same state.

Change: workers with capacity for a task go first, for each group in another order; the others by free capacity as before. Of the granted ones the task still goes to the one with the most free capacity.

--- a/src/dispatch/systems/advice.cpp
+++ b/src/dispatch/systems/advice.cpp
@@ -1,9 +1,11 @@
+#include "core/digest.h"
 #include "dispatch/entry_func.h"
 #include "dispatch/policy/worker_evaluation.h"
 #include "dispatch/systems/systems.h"
 #include "dispatch/ticket_func.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace flamingotally::dispatch
 {
@@ -86,9 +88,24 @@
     std::vector<WorkerRef> renewing; ///< The workers in `all` that had a ticket before, which the request renews.
 };
 
-/** A worker with its free processor capacity in thousandths of a core, negated so that the largest sorts first. */
+/** A worker with its rank; lower ones go first. */
 using RankedWorker = std::pair<std::int64_t, WorkerRef>;
 
+/**
+ * Returns the rank of a worker for a request about a group. Workers with capacity for a task go first, for each group
+ * in another order: groups that asked about the same ones would take them from each other before they can use their
+ * tickets. The others go by free processor capacity, the largest first.
+ */
+std::int64_t rankOf(const Entry &entry, const WorkerEvaluation &evaluation, WorkerRef worker)
+{
+    if (evaluation.hasCapacity(worker)) {
+        const auto order = static_cast<std::int64_t>((digestOf(evaluation.group()) ^ digestOf(worker)) >> 2U);
+        return std::numeric_limits<std::int64_t>::min() + order; // before all others
+    }
+    const auto &capacity = entry.workers.table.get<WorkerIdentity>(worker).capacity;
+    return entry.workers.table.get<WorkerLoad>(worker).used.cpuMilli - capacity.cpuMilli;
+}
+
 /** Appends the first workers of a ranking. @param limit Maximum size of the result. */
 void appendFirst(std::vector<RankedWorker> ranking, std::size_t limit, std::vector<WorkerRef> &workers)
 {
@@ -104,7 +121,7 @@
  * - first the workers with a placed run of the group whose ticket has expired;
  * - then workers with an expired ticket and free capacity for a task, up to the waiting tasks plus `spareWorkers`;
  * - then workers that the service has not decided on and that could run a task, up to `workersPerRequest` in total.
- * Workers of the second and of the third kind are each sorted by free processor capacity, the largest first.
+ * Workers of the second and of the third kind are each sorted by rankOf().
  */
 RequestWorkers chooseWorkers(Entry &entry, GroupRef group, const TickTime &time)
 {
@@ -118,14 +135,12 @@
         if (!entry.workers.table.contains(worker)) {
             continue; // it has left since the last pass
         }
-        const auto &capacity = entry.workers.table.get<WorkerIdentity>(worker).capacity;
-        const auto freeCpu = capacity.cpuMilli - entry.workers.table.get<WorkerLoad>(worker).used.cpuMilli;
         if (!advice.tickets.contains(worker)) {
             if (evaluation.isUsable(worker)) {
-                undecided.emplace_back(-freeCpu, worker);
+                undecided.emplace_back(rankOf(entry, evaluation, worker), worker);
             }
         } else if (evaluation.evaluate(worker) == Fit::NeedsTicket) {
-            renewable.emplace_back(-freeCpu, worker);
+            renewable.emplace_back(rankOf(entry, evaluation, worker), worker);
         }
     }
     RequestWorkers workers;
--- a/tests/dispatch_backlog_test.cpp
+++ b/tests/dispatch_backlog_test.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST_SUITE(DispatchBacklogTest);
     CPPUNIT_TEST(urgentJobsEndInTimeBesideABacklogOnASlowHost);
     CPPUNIT_TEST(groupsThatAreTooLateTakeTurns);
+    CPPUNIT_TEST(groupsAskAboutDifferentWorkers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -135,6 +136,39 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.startsOf({last, 0, 0, 0}));
         assertNoViolations(world);
     }
+
+    /**
+     * All groups asked about the same workers, those with the most free capacity. The first that were answered took
+     * these, and the others, gangs most of all, asked again beside free workers.
+     */
+    void groupsAskAboutDifferentWorkers()
+    {
+        constexpr JobId gangs = 30;
+        constexpr std::uint32_t members = 6;
+        DispatchWorld world(60, workers);
+        requireTickets(world);
+        world.run(settleTime);
+        auto gang = plainStep(members);
+        gang.gang = true;
+        gang.perTask = world.worker(0).capacity();
+        world.defaultScript = {Milliseconds{10'000}, RunEnd::Done};
+        for (JobId job = 1; job <= gangs; ++job) {
+            for (std::size_t n = 0; n < workers; ++n) {
+                if ((n * 7 + job * 5) % 3 != 0) {
+                    world.refusedByJob[job].insert(fmt::format("w{}", n)); // a third of the workers may run it
+                }
+            }
+            world.adviceTimes[job] = Milliseconds{500};
+            world.submitTo("/g/", 0, job, jobOf({gang}));
+        }
+        world.run(Milliseconds{800}); // one request each
+        std::size_t begun = 0;
+        for (JobId job = 1; job <= gangs; ++job) {
+            begun += world.startsOf({job, 0, 0, 0});
+        }
+        CPPUNIT_ASSERT(begun >= gangs / 2);
+        assertNoViolations(world);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchBacklogTest);
