--- a/src/dispatch/systems/systems.h
+++ b/src/dispatch/systems/systems.h
@@ -24,7 +24,10 @@
 /** Applies changes in the list of workers. */
 void workerListSystem(Entry &entry, const TickTime &time);
 
-/** Applies the responses of workers to polls and orders. */
+/** Applies the responses of workers to orders. */
+void orderResponseSystem(Entry &entry, const TickTime &time);
+
+/** Applies the responses of workers to polls. */
 void workerReportSystem(Entry &entry, const TickTime &time);
 
 /** Ends runs whose leases have expired, and stops runs on workers that are about to be removed. */
--- a/src/dispatch/systems/tick.cpp
+++ b/src/dispatch/systems/tick.cpp
@@ -37,6 +37,7 @@
     appendResponseSystem(entry, time);
     ownershipSystem(entry, time);
     workerListSystem(entry, time);
+    orderResponseSystem(entry, time);
     workerReportSystem(entry, time);
     leaseSystem(entry, time);
     adviceResponseSystem(entry, time);
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -2,9 +2,9 @@
 #include "dispatch/entry_func.h"
 #include "dispatch/lease_expiry.h"
 #include "dispatch/policy/order_pacing.h"
+#include "dispatch/systems/response_pause.h"
 #include "dispatch/systems/systems.h"
 #include "dispatch/table/dispatch_table.h"
-#include "dispatch/ticket_func.h"
 #include "dispatch/work_func.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -19,31 +19,15 @@
 
 /** Pause before the next poll after two or more consecutive polls without a response. */
 constexpr Milliseconds missedPollPause{250};
-/**
- * Pause before an order or a poll without a response is sent again. It is short, as sending an order twice is harmless,
- * and the order without a response may be executed late.
- */
-constexpr Milliseconds resendPause{20};
-/** Pause before an order is sent again that did not leave this host, or a stop order that was rejected. */
-constexpr Milliseconds neverSentPause{150};
-/**
- * How long a worker that reports itself unhealthy gets no tasks, a worker whose address was taken over is not polled,
- * and a task whose start order was rejected as malformed is not placed.
- */
-constexpr Milliseconds unhealthyPause{2'000};
 /** How long a worker gets no tasks after `failuresInRow` consecutive failed runs. */
 constexpr Milliseconds failingPause{6'000};
-constexpr Milliseconds fullPause{300}; ///< How long a worker that rejected a run for lack of capacity gets no tasks.
 constexpr Milliseconds stallLimit{1'500}; ///< A run is never stalled while its last progress is more recent than this.
 constexpr int stallDivisor = 4; ///< A run is stalled after 1/4 of its estimate without progress, if that is longer.
 constexpr Milliseconds stalledPause{3'000}; ///< How long a worker gets no tasks after a run stalled on it.
 constexpr std::uint32_t failuresInRow = 3; ///< Consecutive failed runs after which a worker counts as failing.
-/** Start orders of one run; without a response to the last one, the run is given up. */
-constexpr std::uint32_t maxStartsSent = 6;
 /** Consecutive polls without a response after which a worker is unresponsive. */
 constexpr std::uint32_t unresponsiveAfter = 2;
 constexpr Milliseconds malformedRowPause{300}; ///< Pause before the next poll after a report with malformed rows.
-constexpr RunNumber runNumberSkip = 16; ///< Run numbers skipped when a worker rejects a run of a task as superseded.
 
 /** Counts consecutive failed runs on a worker; from `failuresInRow` on, each of them suspends placement there. */
 void recordRunOutcome(Entry &entry, WorkerRef worker, RunEnd how, const TickTime &time)
@@ -350,132 +334,10 @@
     applyMissing(entry, response, seen, time);
 }
 
-/** Stops a run whose start may have arrived; discards any other. */
-void abandonStart(Entry &entry, RunRef run, const TickTime &time)
-{
-    const auto &state = entry.work.runs.get<RunState>(run);
-    if (state.mayHaveArrived) {
-        stopRun(entry, run, time);
-    } else {
-        discardRun(entry, run, time);
-    }
-}
-
-/** Handles a rejected start order. It was not executed, but an earlier order for the same run may have been. */
-void rejectStart(Entry &entry, RunRef run, OrderResult result, const TickTime &time)
-{
-    const auto identity = entry.work.runs.get<RunIdentity>(run);
-    auto &health = entry.workers.table.get<WorkerHealth>(identity.worker);
-    const auto group = entry.work.tasks.get<TaskIdentity>(identity.task).group;
-    auto &task = entry.work.tasks.get<TaskState>(identity.task);
-    ++entry.counters.rejectedStarts[static_cast<std::size_t>(result)];
-    logEvent(entry,
-             EventKind::StartRejected,
-             nameOf(entry, identity.task).job,
-             "run={} worker={} result={}",
-             identity.number,
-             entry.workers.table.get<WorkerIdentity>(identity.worker).id,
-             flamingotally::nameOf(orderResultTable, result));
-    if (result == OrderResult::Superseded) {
-        task.lastRun += runNumberSkip;
-    } else if (result == OrderResult::NoCapacity) {
-        health.avoidUntil = std::max(health.avoidUntil, time.now + fullPause);
-    } else if (result == OrderResult::NoTicket) {
-        forgetTicket(entry.work.groups.get<GroupAdvice>(group), identity.worker);
-    } else if (result == OrderResult::Unhealthy) {
-        health.avoidUntil = std::max(health.avoidUntil, time.now + unhealthyPause);
-    } else if (result == OrderResult::Malformed) {
-        task.readyAt = time.now + unhealthyPause;
-    }
-    abandonStart(entry, run, time);
-}
-
-void handleStartResponse(Entry &entry, const OrderResponse &response, const TickTime &time)
-{
-    auto &state = entry.work.runs.get<RunState>(response.run);
-    state.inFlight = false;
-    const bool isOrdered = state.phase == RunPhase::Ordered;
-    switch (response.result) {
-    case OrderResult::Accepted:
-        if (isOrdered) {
-            state.phase = RunPhase::Running;
-            state.confirmedAt = response.receivedAt;
-            state.progressAt = response.receivedAt;
-            ++entry.counters.starts;
-            entry.counters.observe(LatencyKind::Start, response.receivedAt - response.sentAt);
-        }
-        break;
-    case OrderResult::WorkerReplaced:
-        endAllRuns(
-            entry, entry.work.runs.get<RunIdentity>(response.run).worker, "address taken by another worker", time);
-        break;
-    case OrderResult::NoResponse:
-        state.mayHaveArrived = true;
-        ++entry.counters.unansweredOrders;
-        [[fallthrough]];
-    case OrderResult::NeverSent:
-        state.sendAt = time.now + (response.result == OrderResult::NoResponse ? resendPause : neverSentPause);
-        if (isOrdered && state.startsSent >= maxStartsSent) {
-            abandonStart(entry, response.run, time);
-        }
-        break;
-    default:
-        if (isOrdered) {
-            rejectStart(entry, response.run, response.result, time);
-        }
-        break;
-    }
-}
-
-void handleStopResponse(Entry &entry, const OrderResponse &response, const TickTime &time)
-{
-    auto &state = entry.work.runs.get<RunState>(response.run);
-    state.inFlight = false;
-    if (response.result == OrderResult::Accepted) {
-        state.stopAccepted = true;
-        state.confirmedAt = response.receivedAt;
-        auto &link = entry.workers.table.get<WorkerLink>(entry.work.runs.get<RunIdentity>(response.run).worker);
-        link.pollAt = std::min(link.pollAt, time.now);
-    } else if (response.result == OrderResult::WorkerReplaced) {
-        endAllRuns(
-            entry, entry.work.runs.get<RunIdentity>(response.run).worker, "address taken by another worker", time);
-    } else {
-        state.sendAt = time.now + (response.result == OrderResult::NoResponse ? resendPause : neverSentPause);
-    }
-}
-
-void handleOrderResponse(Entry &entry, const OrderResponse &response, const TickTime &time)
-{
-    if (response.token != entry.ownership.token) {
-        return;
-    }
-    if (response.result == OrderResult::Fenced) {
-        resign(entry, "worker has seen a higher fencing token");
-        return;
-    }
-    if (!entry.work.runs.contains(response.run)) {
-        return;
-    }
-    const auto worker = entry.work.runs.get<RunIdentity>(response.run).worker;
-    if (entry.workers.table.get<WorkerLink>(worker).missedPolls == 0) {
-        recordResponse(entry.workers.pacing, response.receivedAt - response.sentAt, time.now);
-    }
-    if (response.kind == OrderKind::Start) {
-        handleStartResponse(entry, response, time);
-    } else {
-        handleStopResponse(entry, response, time);
-    }
-}
-
 } // namespace
 
 void workerReportSystem(Entry &entry, const TickTime &time)
 {
-    for (const auto &it : entry.inbox.orderResponses) {
-        if (entry.isOwner()) {
-            handleOrderResponse(entry, it, time);
-        }
-    }
     for (const auto &it : entry.inbox.pollResponses) {
         if (entry.isOwner()) {
             handlePollResponse(entry, it, time);
