End a call that cannot be sent with an error

Callers would have seen a daemon that no longer reads the list of workers, or a worker that is never polled again: an exception while a message was built left the coroutine without an answer to whoever waited for it, and was swallowed. Class: an error path that forgets the caller.

Change: the message is built before a connection is taken, and any exception ends the call as one without a response. Evidence: endsACallThatCannotBeSentWithAnError (a field of 100,000 bytes) waited for ever before.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -200,12 +200,16 @@
 
 /**
  * Sends a request on an open connection and receives the response.
+ * @param message The message of the call.
  * @param traffic Counts the bytes.
  * @param keepAlive Set to true if the connection can be reused afterwards.
  */
-awaitable<HttpResult> exchangeMessages(beast::tcp_stream &stream, HttpCall &call, StepTraffic &traffic, bool &keepAlive)
+awaitable<HttpResult> exchangeMessages(beast::tcp_stream &stream,
+                                       const HttpCall &call,
+                                       const http::request<http::string_body> &message,
+                                       StepTraffic &traffic,
+                                       bool &keepAlive)
 {
-    const auto message = toMessage(call);
     const auto [writeError, sent] = co_await http::async_write(stream, message, useTuple);
     traffic.sentBytes += sent;
     if (writeError) {
@@ -242,6 +246,7 @@
 {
     auto &traffic = state->traffic[static_cast<std::size_t>(call.step)];
     ++traffic.calls;
+    const auto message = toMessage(call); // before a connection is taken, as it throws if the call cannot be sent
     auto ref = takeIdle(*state, call.address);
     const bool isOpen = ref.isSet();
     if (!isOpen && !makeRoom(*state)) {
@@ -262,7 +267,7 @@
         }
     }
     bool keepAlive = false;
-    auto result = co_await exchangeMessages(stream, call, traffic, keepAlive);
+    auto result = co_await exchangeMessages(stream, call, message, traffic, keepAlive);
     if (!result.ok()) {
         ++traffic.failures;
         closeIdleConnections(*state, call.address);
@@ -280,7 +285,12 @@
     const StatePtr state = std::move(shared);
     HttpCall call = std::move(moved);
     const HttpCallback callback = std::move(function);
-    auto result = co_await perform(state, call);
+    HttpResult result = absl::UnknownError("");
+    try {
+        result = co_await perform(state, call);
+    } catch (const std::exception &error) {
+        result = callError(absl::StatusCode::kUnknown, call, error.what());
+    }
     callback(std::move(result));
 }
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(drainAnswersPendingRequests);
     CPPUNIT_TEST(drainClosesIdleConnections);
     CPPUNIT_TEST(arbitraryBytesDoNotStopTheServer);
+    CPPUNIT_TEST(endsACallThatCannotBeSentWithAnError);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -274,6 +275,23 @@
         CPPUNIT_ASSERT(succeeded);
     }
 
+    /** A call whose message could not be built was never answered, so that whoever waited for it waited for good. */
+    void endsACallThatCannotBeSentWithAnError()
+    {
+        boost::asio::io_context io;
+        HttpClient client(io);
+        HttpServer server(
+            io, {}, [](const HttpRequest & /*request*/, const HttpResponder &respond) { respond({.status = 200U}); });
+        CPPUNIT_ASSERT(server.listen(anyLoopbackPort).ok());
+        HttpCall call;
+        call.address = server.address();
+        call.target = "/";
+        call.fields.push_back({"X-Long", std::string(100'000, 'x')});
+        CPPUNIT_ASSERT(!callAndWait(io, client, call).ok());
+        call.fields.clear();
+        CPPUNIT_ASSERT(callAndWait(io, client, call).ok());
+    }
+
 private:
     /** Starts a server that records the requests and responds at once, unless `m_respondsAtOnce` is false. */
     void startServer(HttpServerSettings settings = {})
