--- a/scripts/late-jobs.sh
+++ b/scripts/late-jobs.sh
@@ -29,14 +29,15 @@
     /event=job_overdue/ { if (!(job in overdue)) overdue[job] = field("waits_for") }
     /event=job_failed/ { failed[job] = 1 }
     /event=job_cancelled/ { cancelled[job] = 1 }
+    /event=job_reported/ { reported[job] = 1 }
     /event=call_refused/ { refusals[job]++ }
     END {
         count = split("owner earlier_runs advice capacity append order confirmation run", stages, " ")
-        split("in_time late too_late overdue_unfinished unfinished failed cancelled", outcomes, " ")
+        split("in_time late too_late ended_line_lost overdue_unfinished unfinished failed cancelled", outcomes, " ")
         for (i = 1; i <= n; ++i) {
             job = order[i]; acceptedAt[job] -= start; key = group(queueOf[job], job)
             if (!(key in keys)) { keys[key] = 1; keyList[++keyCount] = key }
-            outcome = job in cancelled ? "cancelled" : job in failed ? "failed" : job in line ? "" : job in overdue ? "overdue_unfinished" : "unfinished"
+            outcome = job in cancelled ? "cancelled" : job in failed ? "failed" : job in line ? "" : job in reported ? "ended_line_lost" : job in overdue ? "overdue_unfinished" : "unfinished"
             if (outcome == "") {
                 $0 = line[job]
                 objective = field("objective_ms"); took = field("took_ms")
@@ -56,7 +57,7 @@
         for (k = 1; k <= keyCount; ++k) {
             key = keyList[k]
             printf "%s: %d accepted, %d of them after refusals\n", key, total[key], refusedFirst[key]
-            for (o = 1; o <= 7; ++o) {
+            for (o = 1; o <= 8; ++o) {
                 outcome = outcomes[o]; if (!amount[key, outcome]) continue
                 printf "  %-19s %6d ", outcome, amount[key, outcome]
                 for (s = 1; s <= count; ++s) if ((key, outcome, s) in sum) printf " %s %d", stages[s], sum[key, outcome, s] / amount[key, outcome]
--- a/src/dispatch/net/event_log.cpp
+++ b/src/dispatch/net/event_log.cpp
@@ -49,13 +49,15 @@
 
 void EventLog::flush()
 {
-    if (m_buf.empty()) {
-        return;
-    }
-    const auto n = ::write(STDOUT_FILENO, m_buf.data(), m_buf.size());
-    if (n > 0) {
-        m_buf.erase(0, static_cast<std::size_t>(n));
+    std::size_t written = 0;
+    while (written < m_buf.size()) {
+        const auto n = ::write(STDOUT_FILENO, m_buf.data() + written, m_buf.size() - written);
+        if (n <= 0) {
+            break;
+        }
+        written += static_cast<std::size_t>(n);
     }
+    m_buf.erase(0, written);
 }
 
 } // namespace flamingotally
