Try requests again only when a relay may be free

Found by reading the diff: the urgent groups that wait for a relay were tried in each tick, and each try may look at all workers of the pool before it finds that no relay takes a request of that length. They are tried after each pass and each response now.

--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -186,6 +186,7 @@
     absl::flat_hash_map<std::uint64_t, PendingAdvice> pending; ///< By the request's number.
     std::map<std::string, Relay> relays; ///< By the daemon's name.
     std::vector<GroupRef> needed; ///< Groups that needed advice in the last pass and have none yet, most urgent first.
+    std::uint64_t triedInPass = 0; ///< Number of the last pass after which requests for `needed` were tried.
     std::deque<GroupRef> backlog; ///< Groups that need advice, but are too late to be useful; first come, first served.
     std::vector<GroupRef> prefetch; ///< Groups that will open soon and have had no request yet.
     /** Groups with placed runs whose tickets have expired; their requests are sent first. */
--- a/src/dispatch/systems/advice.cpp
+++ b/src/dispatch/systems/advice.cpp
@@ -221,9 +221,16 @@
     }
 }
 
-/** Sends requests for the groups that need them, most urgent first. Those for which no relay is free stay listed. */
+/**
+ * Sends requests for the groups that need them, most urgent first. Those for which no relay is free stay listed, and
+ * are tried again after the next response, which frees a relay, or the next pass.
+ */
 void sendNeeded(Entry &entry, const TickTime &time)
 {
+    const auto triedInPass = std::exchange(entry.advice.triedInPass, entry.work.pass.number);
+    if (triedInPass == entry.work.pass.number && entry.inbox.adviceResponses.empty()) {
+        return;
+    }
     std::erase_if(entry.advice.needed, [&](GroupRef group) {
         if (!isWaiting(entry, group) || entry.work.groups.get<GroupAdvice>(group).pendingNumber != 0) {
             return true;
@@ -264,7 +271,7 @@
             sendRequest(entry, group, time);
         }
         if (const auto it = advice.pending.find(groupAdvice.pendingNumber); it != advice.pending.end()) {
-            inFlight += std::exchange(it->second.isOfBacklog, true) ? 0 : 1;
+            inFlight += std::exchange(it->second.isOfBacklog, true) ? 0 : 1; // it may have been sent before
         }
     }
 }
