--- a/src/core/field_table.h
+++ b/src/core/field_table.h
@@ -37,7 +37,7 @@
 struct FieldKindRow {
     FieldKind value; ///< The kind.
     std::string_view name; ///< Name of the kind in messages.
-    std::string_view unit; ///< Unit of the values, or of the length of a text; empty when there is none.
+    std::string_view unit; ///< Unit of the values, or of the length of a text; empty for fields without a unit.
     std::string_view expected; ///< Description of the allowed values, for error messages.
 };
 
--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -133,7 +133,7 @@
     bool mayBeStored = false; ///< The batch was sent without a response, so it may be stored.
     bool wasRefused = false; ///< The store refused the last send of a batch.
     Token epoch = 1; ///< Fencing token of the batches; for the owner's writer the owner's token.
-    std::uint64_t sequence = 1; ///< Sequence number of the current batch, or of the next one when there is none.
+    std::uint64_t sequence = 1; ///< Sequence number of the batch, or of the next one while the writer has no batch.
     std::uint64_t batchesMade = 0; ///< Number of the newest batch, from 1; zero before the first one.
     std::uint64_t batchesStored = 0; ///< Number of the newest batch that is stored; zero before the first one.
     MonotonicTime madeAt{}; ///< When the newest batch was made.
--- a/src/dispatch/job_base.h
+++ b/src/dispatch/job_base.h
@@ -36,7 +36,7 @@
     bool failed = false;
     bool begun = false; ///< At least one of its tasks has been placed.
     std::uint32_t completed = 0; ///< Occurrences that have completed.
-    bool reported = false; ///< This daemon has told a caller that the job has ended.
+    bool reported = false; ///< This daemon has reported the end of the job to a caller.
     MonotonicTime endedAt{}; ///< When the record that ended the job was read from the journal; zero before.
     std::vector<OccurrenceProgress> occurrences;
 };
--- a/src/dispatch/net/job_trace.cpp
+++ b/src/dispatch/net/job_trace.cpp
@@ -30,7 +30,7 @@
     return {};
 }
 
-/** Parses a number; zero if there is none. */
+/** Parses a number; zero if the text does not begin with one. */
 template<typename Number>
 Number numberOf(std::string_view text, int base)
 {
--- a/src/dispatch/policy/group_order.h
+++ b/src/dispatch/policy/group_order.h
@@ -30,8 +30,8 @@
 
 /**
  * Sorts by, in this order: groups that are too late last, priority, endless steps first, timeliness, the team that uses
- * least of its share first, the earliest objective first. Groups that are too late take turns, so that those that find
- * no place keep no others from theirs.
+ * least of its share first, the earliest objective first. Groups that are too late take turns, so that those that
+ * find no worker do not hold up the others.
  */
 struct FairOrder {
     static auto key(const GroupView &view)
--- a/src/dispatch/policy/placer.h
+++ b/src/dispatch/policy/placer.h
@@ -74,7 +74,7 @@
     }
 
 private:
-    static constexpr Milliseconds searchPause{50};
+    static constexpr Milliseconds searchPause{50}; ///< Between two searches of a group for workers to ask about.
 
     /** Returns true if a worker of the pool has capacity for a task, whether it may run the step or not. */
     bool hasCapacityAnywhere() const
--- a/src/dispatch/stage_type.h
+++ b/src/dispatch/stage_type.h
@@ -12,7 +12,7 @@
 
 /** What a task waits for, in the order of its way. */
 enum class Stage : std::uint8_t {
-    Owner, ///< For an owner that knows of the job. Counted once for each occurrence.
+    Owner, ///< For an owner to open the occurrence. Counted once for each occurrence.
     EarlierRuns, ///< For the end of its earlier runs, which did not complete it.
     Advice, ///< For the policy service, while the group has no valid ticket.
     Capacity, ///< For free capacity on a worker that may run it.
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -41,7 +41,7 @@
     }
 }
 
-/** Returns the run in this owner's tables that a row of a worker's report is about; unset when there is none. */
+/** Returns the run in this owner's tables that a row of a worker's report is about; unset for any other run. */
 RunRef findRun(const Entry &entry, WorkerRef worker, const TaskName &task, RunNumber number)
 {
     const auto it = entry.work.runByTask.find(task);
--- a/src/net/host_list_client.h
+++ b/src/net/host_list_client.h
@@ -23,7 +23,7 @@
     HostListRead handleResponse(const HttpResult &result);
 
     PortContext m_context;
-    std::string m_tag; ///< Entity tag of the retained list; empty if there is none.
+    std::string m_tag; ///< Entity tag of the retained list; empty before the first list.
     HostListRead m_last; ///< The retained list.
 };
 
--- a/src/net/http_type.h
+++ b/src/net/http_type.h
@@ -40,8 +40,8 @@
     std::string path{}; ///< Decoded path, without the query.
     std::vector<HttpField> query{}; ///< Decoded query parameters in the order of the request.
     std::vector<HttpField> fields{}; ///< Header fields.
-    std::string bearer{}; ///< The key of "Authorization: Bearer"; empty if there is none.
-    std::string idempotencyKey{}; ///< Value of "Idempotency-Key"; empty if there is none.
+    std::string bearer{}; ///< The key of "Authorization: Bearer"; empty without that field.
+    std::string idempotencyKey{}; ///< Value of "Idempotency-Key"; empty without that field.
     std::string body{};
 };
 
--- a/src/net/record_ring.h
+++ b/src/net/record_ring.h
@@ -32,7 +32,7 @@
     LogPage pageFrom(std::uint64_t from, std::size_t maxBytes) const;
 
 private:
-    /** Returns the offset after the newest record; 0 if there is none. */
+    /** Returns the offset after the newest record; 0 while the ring is empty. */
     std::uint64_t end() const;
 
     std::deque<RawRecord> m_records;
--- a/standin/fault_system.cpp
+++ b/standin/fault_system.cpp
@@ -7,7 +7,7 @@
 namespace
 {
 
-/** Returns the host with a name, or an unset reference when there is none. */
+/** Returns the host with a name, or an unset reference if no host has it. */
 HostRef findHost(const Standin &standin, const std::string &name)
 {
     HostRef found;
--- a/standin/standin_type.h
+++ b/standin/standin_type.h
@@ -86,7 +86,7 @@
 
 struct ReadRequest {
     std::uint64_t from = 0; ///< Offset of the first record to return.
-    Milliseconds wait{0}; ///< Maximum time to wait for a record when there is none at `from` yet.
+    Milliseconds wait{0}; ///< Maximum time to wait for the record at `from` if it has not been appended yet.
     std::size_t maxBytes = 0; ///< No further record is added once the response has reached this size.
 };
 
