--- a/tests/fakes/dispatch_world_workers.cpp
+++ b/tests/fakes/dispatch_world_workers.cpp
@@ -9,7 +9,6 @@
 {
 
 using namespace dispatch;
-using standin::WorkerModel;
 
 std::size_t DispatchWorld::startsOf(const TaskName &task) const
 {
