Review case 2: owners lost for good use up the minions' connections

Cause: the HTTP client keeps up to 8 idle connections open to each minion, which takes 64; an owner that is lost for good can't close them, and after some losses new owners reach most minions no more.

The cases after it move up by one; the former case 5 leaves the five, and stays in KNOWN-RED.txt with its command.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case "late-start"; the exit status is 0 when the rule held, 1 when it was broken, 2 when the case could not run.
+# Plays the case "many-ends"; the exit status is 0 when the rule held, 1 when it was broken, 2 when the case could not run.
 # TROUBLE=0 plays it without the disruption.
 set -u
 case_dir=$(cd "$(dirname "$0")" && pwd)
@@ -10,7 +10,7 @@
 fi
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-timeout --kill-after=2 115 target/review-trial late-start "$case_dir/record.txt" "$folder"
+timeout --kill-after=2 115 target/review-trial many-ends "$case_dir/record.txt" "$folder"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
