--- a/review/standin/trial.cpp
+++ b/review/standin/trial.cpp
@@ -51,7 +51,9 @@
 constexpr Ms storeDelayMs = 4; ///< Time of an answer of the store.
 constexpr std::size_t endsPerList = 500; ///< Ends in one list of a minion.
 constexpr std::size_t itemsPerPage = 500; ///< Items in one page of the newest records.
-constexpr int daemonCount = 3;
+constexpr std::size_t minionConnections = 64;
+constexpr std::size_t storeConnections = 4'000;
+constexpr std::size_t daemonCount = 3;
 
 const auto programStart = std::chrono::steady_clock::now();
 
@@ -262,7 +264,8 @@
 public:
     using Handler = std::function<Response(const Request &, std::uint64_t life)>;
 
-    explicit Server(Handler handler) : m_handler(std::move(handler))
+    Server(Handler handler, std::size_t maxConnections)
+        : m_handler(std::move(handler)), m_maxConnections(maxConnections)
     {
     }
 
@@ -309,10 +312,20 @@
         return m_life;
     }
 
+    std::size_t connectionCount()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_connections.size();
+    }
+
 private:
     void acceptAll(int listener, std::uint64_t life)
     {
         while (m_life == life) {
+            if (connectionCount() >= m_maxConnections) {
+                sleepMs(5); // further connections wait
+                continue;
+            }
             const int fd = ::accept(listener, nullptr, nullptr);
             if (fd < 0) {
                 if (m_life != life) {
@@ -354,6 +367,7 @@
     }
 
     Handler m_handler;
+    std::size_t m_maxConnections;
     std::mutex m_mutex;
     std::set<int> m_connections;
     std::atomic<std::uint64_t> m_life{0};
@@ -389,7 +403,7 @@
 class Store
 {
 public:
-    Store() : m_server([this](const Request &request, std::uint64_t) { return handle(request); })
+    Store() : m_server([this](const Request &request, std::uint64_t) { return handle(request); }, storeConnections)
     {
         m_server.up();
     }
@@ -669,7 +683,8 @@
     Minion(std::string id, Store &store, Judge &judge, const Work &work, json::object capacity, json::array labels)
         : m_id(std::move(id)), m_store(store), m_judge(judge), m_work(work), m_capacity(std::move(capacity)),
           m_labels(std::move(labels)),
-          m_server([this](const Request &request, std::uint64_t life) { return handle(request, life); })
+          m_server([this](const Request &request, std::uint64_t life) { return handle(request, life); },
+                   minionConnections)
     {
         boot();
         std::thread([this] { advanceAlways(); }).detach();
@@ -709,6 +724,11 @@
         return m_running.size();
     }
 
+    std::size_t connectionCount()
+    {
+        return m_server.connectionCount();
+    }
+
     std::size_t unacknowledged()
     {
         const std::lock_guard lock(m_mutex);
@@ -1139,7 +1159,7 @@
     std::optional<std::pair<int, std::string>>
     ask(std::size_t daemon, const std::string &method, const std::string &rest, const std::string &body = "")
     {
-        auto it = call(m_fronts[daemon % m_fronts.size()], method, "/desk/" + rest, body);
+        auto it = call(m_daemons[daemon % m_daemons.size()].front, method, "/desk/" + rest, body);
         record().write("client: " + method + " /desk/" + rest + " to daemon " + std::to_string(daemon + 1) + " -> "
                        + (it ? std::to_string(it->first) + " " + it->second : std::string("no answer")));
         return it;
@@ -1184,49 +1204,52 @@
         return last;
     }
 
+    /** The daemon that owns the cell is lost for good, as without power; a new one comes at another address. */
+    void replaceOwner(const std::string &folder)
+    {
+        const auto owner = std::ranges::max_element(m_daemons, {}, tokenOf);
+        record().write("the daemon of " + owner->log.substr(owner->log.rfind('/') + 1) + " is lost for good");
+        ::kill(owner->pid, SIGSTOP); // never continued: its connections stay, and nothing comes on them
+        const auto zone = owner->zone;
+        m_lost.push_back(owner->pid);
+        m_daemons.erase(owner);
+        addDaemon(folder, zone);
+    }
+
     void stopDaemons()
     {
-        for (const auto pid : m_children) {
+        for (const auto &it : m_daemons) {
+            m_lost.push_back(it.pid);
+        }
+        for (const auto pid : m_lost) {
             ::kill(pid, SIGKILL);
             ::waitpid(pid, nullptr, 0);
         }
-        m_children.clear();
+        m_daemons.clear();
+        m_lost.clear();
     }
 
 private:
+    /** An entry daemon. */
+    struct Daemon {
+        std::string zone;
+        std::string log; ///< Path of its log.
+        int front = 0;
+        int ready = 0;
+        pid_t pid = 0;
+    };
+
     /** Starts the daemons with the command of the deploy file, and waits until all are ready. */
     bool tryDaemons(const std::string &folder)
     {
-        static constexpr std::array<const char *, daemonCount> zones{"akl", "wlg", "chc"};
-        m_fronts.clear();
-        m_readies.clear();
-        const auto ports = freePorts(4 * zones.size());
-        for (std::size_t n = 0; n < zones.size(); ++n) {
-            const auto *port = &ports[4 * n];
-            const auto file = folder + "/boot-" + zones[n] + ".toml";
-            const auto address = [&](std::size_t i) {
-                return "127.0.0.1:" + std::to_string(port[i]);
-            };
-            const std::map<std::string, std::string> values{{"nodeName", std::string("front-") + zones[n] + "-1"},
-                                                            {"zone", zones[n]},
-                                                            {"listen.front", address(0)},
-                                                            {"listen.ready", address(1)},
-                                                            {"ip", "127.0.0.1"},
-                                                            {"portRange.0", std::to_string(port[2])},
-                                                            {"portRange.1", std::to_string(port[3])},
-                                                            {"platform.address", m_store.address()},
-                                                            {"advice", ""},
-                                                            {"limits.cpuShare", "0.25"}};
-            std::ofstream(file) << fillTemplate("deploy/settings.toml", values);
-            m_fronts.push_back(port[0]);
-            m_readies.push_back(port[1]);
-            startDaemon(file, folder + "/log-" + zones[n] + ".txt");
+        for (const auto *zone : {"akl", "wlg", "chc"}) {
+            addDaemon(folder, zone);
         }
         constexpr Ms limit = 6'000;
         for (const auto until = nowMs() + limit; nowMs() < until; sleepMs(100)) {
-            const bool areReady = std::ranges::all_of(m_readies, [](int port) {
-                const auto it = call(port, "GET", "/api/readiness", "");
-                return it && it->first == 200;
+            const bool areReady = std::ranges::all_of(m_daemons, [](const Daemon &it) {
+                const auto answer = call(it.ready, "GET", "/api/readiness", "");
+                return answer && answer->first == 200;
             });
             if (areReady) {
                 sleepMs(4'000); // an owner has claimed the cell and polled the minions
@@ -1236,7 +1259,46 @@
         return false;
     }
 
-    void startDaemon(const std::string &settings, const std::string &log)
+    /** Starts a daemon under a new name, on new ports. */
+    void addDaemon(const std::string &folder, const std::string &zone)
+    {
+        const auto ports = freePorts(4);
+        const auto name = "front-" + zone + "-" + std::to_string(++m_named);
+        const auto address = [&](std::size_t i) {
+            return "127.0.0.1:" + std::to_string(ports[i]);
+        };
+        const std::map<std::string, std::string> values{{"nodeName", name},
+                                                        {"zone", zone},
+                                                        {"listen.front", address(0)},
+                                                        {"listen.ready", address(1)},
+                                                        {"ip", "127.0.0.1"},
+                                                        {"portRange.0", std::to_string(ports[2])},
+                                                        {"portRange.1", std::to_string(ports[3])},
+                                                        {"platform.address", m_store.address()},
+                                                        {"advice", ""},
+                                                        {"limits.cpuShare", "0.25"}};
+        const auto file = folder + "/boot-" + name + ".toml";
+        std::ofstream(file) << fillTemplate("deploy/settings.toml", values);
+        Daemon it{zone, folder + "/log-" + name + ".txt", ports[0], ports[1], 0};
+        it.pid = startDaemon(file, it.log);
+        m_daemons.push_back(it);
+    }
+
+    /** Returns the highest token under which a daemon has taken the cell, by its log; 0 for none. */
+    static long tokenOf(const Daemon &daemon)
+    {
+        static constexpr std::string_view mark("event=ownership_taken token=");
+        long token = 0;
+        std::ifstream log(daemon.log);
+        for (std::string line; std::getline(log, line);) {
+            if (const auto at = line.find(mark); at != std::string::npos) {
+                token = std::max(token, std::strtol(line.c_str() + at + mark.size(), nullptr, 10));
+            }
+        }
+        return token;
+    }
+
+    static pid_t startDaemon(const std::string &settings, const std::string &log)
     {
         const auto pid = ::fork();
         if (pid == 0) {
@@ -1248,16 +1310,16 @@
             ::execl("target/flamingotally-entry", "target/flamingotally-entry", nullptr);
             std::_Exit(2);
         }
-        m_children.push_back(pid);
+        return pid;
     }
 
     Store m_store;
     Judge m_judge;
     Work m_work;
     std::vector<std::unique_ptr<Minion>> m_minions;
-    std::vector<pid_t> m_children;
-    std::vector<int> m_fronts;
-    std::vector<int> m_readies;
+    std::vector<Daemon> m_daemons;
+    std::vector<pid_t> m_lost;
+    int m_named = 0; ///< Daemons that were given a name.
 };
 
 constexpr int held = 0;
@@ -1321,10 +1383,10 @@
 /** The store is down while more runs end on one minion than one of its lists holds. */
 int playManyEnds(Cell &cell, bool hasTrouble)
 {
-    constexpr std::int64_t tasks = 1'300;
+    constexpr std::int64_t tasks = 3'000;
     constexpr Ms outage = 4'500;
     const auto id = idOf(1);
-    const json::object step{{"count", tasks}, {"cpu", 40}, {"memMb", 180}, {"estRuntimeMs", 2'000}};
+    const json::object step{{"count", tasks}, {"cpu", 20}, {"memMb", 80}, {"estRuntimeMs", 2'500}};
     if (!cell.submit(id, step)) {
         return unplayable;
     }
@@ -1423,6 +1485,43 @@
     return conclude(cell.judge().twice());
 }
 
+/** Owners are lost for good one after the other, each after it has started tasks. */
+int playLostOwners(Cell &cell, bool hasTrouble, const std::string &folder)
+{
+    constexpr std::size_t losses = 9;
+    constexpr Ms pause = 5'000;
+    constexpr Ms calmMs = 15'000;
+    const json::object brief{{"count", 21}, {"cpu", 1'000}, {"memMb", 256}, {"estRuntimeMs", 500}};
+    for (std::size_t n = 0; n < losses; ++n) {
+        if (!cell.submit(idOf(n), brief)) {
+            return unplayable;
+        }
+        sleepMs(2'000);
+        if (hasTrouble) {
+            cell.replaceOwner(folder);
+        }
+        sleepMs(pause);
+        std::string line = "connections:";
+        for (std::size_t i = 0; i < cell.minionCount(); ++i) {
+            line += " " + std::to_string(cell.minion(i).connectionCount());
+        }
+        record().write(line);
+    }
+    const auto last = idOf(losses);
+    if (!cell.submit(last, brief)) {
+        return unplayable;
+    }
+    sleepMs(calmMs);
+    std::vector<std::string> findings;
+    const auto begun = cell.judge().begun(last);
+    const auto state = cell.state(last);
+    if (state != "completed" && begun == 0) {
+        findings.push_back("job " + last + " was accepted " + std::to_string(calmMs)
+                           + " ms ago, none of its tasks has begun, all minions are free, and its state is " + state);
+    }
+    return conclude(findings);
+}
+
 /** Jobs wait for the only minion of a kind, which refuses starts. */
 int playWaiting(Cell &cell, bool hasTrouble)
 {
@@ -1480,7 +1579,7 @@
     static Cell cell;
     constexpr std::int64_t largeCpu = 64'000;
     constexpr std::int64_t smallCpu = 16'000;
-    int (*script)(Cell &, bool) = nullptr;
+    std::function<int(Cell &, bool)> script;
     if (name == "restart") {
         cell.work().duration = [](const std::string &task) {
             const auto index = std::strtol(task.c_str() + task.rfind('.') + 1, nullptr, 10);
@@ -1493,7 +1592,7 @@
     } else if (name == "many-ends") {
         cell.work().duration = [](const std::string &task) {
             const auto index = std::strtol(task.c_str() + task.rfind('.') + 1, nullptr, 10);
-            return Ms{1'000} + index * 2;
+            return Ms{1'000} + index * 11 / 10;
         };
         cell.addMinion(largeCpu, "a");
         script = playManyEnds;
@@ -1506,6 +1605,16 @@
             cell.addMinion(smallCpu, "a");
         }
         script = playCrashes;
+    } else if (name == "lost-owners") {
+        cell.work().duration = [](const std::string &) {
+            return Ms{500};
+        };
+        for (int n = 0; n < 3; ++n) {
+            cell.addMinion(largeCpu, "a");
+        }
+        script = [&folder](Cell &it, bool isTroubled) {
+            return playLostOwners(it, isTroubled, folder);
+        };
     } else if (name == "late-start") {
         cell.work().duration = [](const std::string &task) {
             return task.starts_with(idOf(2)) && !task.ends_with(".0") ? Ms{8'000} : Ms{500};
@@ -1524,7 +1633,7 @@
         }
         script = playWaiting;
     }
-    if (script == nullptr) {
+    if (!script) {
         std::cerr << "trial: no case " << name << '\n';
         return unplayable;
     }
