Bound the connections that a daemon has at a worker

Callers saw accepted work wait for good beside free workers (LOST), after hosts that owned the cell had been lost for good.

Cause: a worker takes 64 connections from all daemons and closes none, and a lost host closes none either.

Now calls to an address share the connections of their channel, and a table gives each channel its limit, in use and idle together: one for polls, one for orders. Calls wait their turn in order and within their time-out; one without a connection in time was never sent. Connections that stay idle for 5 s are closed, so that owners which resigned or were paused free theirs. Four orders at most are in flight to one worker, so that the wait is not taken for a congested link.

With the earlier limits put back, LostOwnerTest:: lostOwnersLeaveTheirWorkersReachable, NetTest:: holdsNoMoreConnectionsThanTheChannelAllows and callWithoutAConnectionInTimeWasNeverSent fail.

On the way: worker_lost names its cause, gauges stand in a table, tests of the platform share a fixture.

--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -252,6 +252,13 @@
 /** Traffic of this daemon since its start, by TrafficKind. Network code fills it. */
 using TrafficByKind = std::array<Traffic, enumSize<TrafficKind>>;
 
+/** Open connections of this daemon, in use and idle. Network code fills it. */
+struct ConnectionCounts {
+    std::size_t toWorkers = 0;
+    std::size_t toOthers = 0; ///< To the store, the policy service and other daemons.
+    std::size_t waitingCalls = 0; ///< Calls that wait until a connection becomes free.
+};
+
 /** Counters for /metrics, since the start of the process. */
 struct EntryCounters {
     std::uint64_t ticks = 0;
@@ -317,6 +324,7 @@
     AdviceState advice;
     WallEstimate wall;
     EntryCounters counters;
+    ConnectionCounts connections;
     LoadReport loadReport;
     Inbox inbox;
     Outbox outbox;
--- a/src/dispatch/net/entry_metrics.cpp
+++ b/src/dispatch/net/entry_metrics.cpp
@@ -101,6 +101,51 @@
     family.Add({}).Increment(static_cast<double>(row.value(entry)));
 }
 
+/** A gauge without labels. */
+struct GaugeRow {
+    const char *name;
+    const char *help; ///< Description of the metric, in one sentence.
+    std::size_t (*value)(const Entry &entry);
+};
+
+constexpr std::array gaugeTable = {
+    GaugeRow{"flamingotally_is_owner",
+             "1 if this daemon is the owner, else 0.",
+             [](const Entry &it) -> std::size_t {
+                 return it.isOwner() ? 1 : 0;
+             }},
+    GaugeRow{"flamingotally_jobs",
+             "Jobs in this daemon's table.",
+             [](const Entry &it) -> std::size_t {
+                 return it.jobs.table.size();
+             }},
+    GaugeRow{"flamingotally_runs",
+             "Active runs; zero unless this daemon is the owner.",
+             [](const Entry &it) -> std::size_t {
+                 return it.work.runs.size();
+             }},
+    GaugeRow{"flamingotally_waiting_groups",
+             "Groups of tasks that wait to be placed.",
+             [](const Entry &it) {
+                 return it.work.waitingGroups.size();
+             }},
+    GaugeRow{"flamingotally_worker_connections",
+             "Open connections to workers.",
+             [](const Entry &it) {
+                 return it.connections.toWorkers;
+             }},
+    GaugeRow{"flamingotally_other_connections",
+             "Open connections to the store, the policy service and other daemons.",
+             [](const Entry &it) {
+                 return it.connections.toOthers;
+             }},
+    GaugeRow{"flamingotally_waiting_calls",
+             "Calls that wait until a connection becomes free.",
+             [](const Entry &it) {
+                 return it.connections.waitingCalls;
+             }},
+};
+
 void addGauge(prometheus::Registry &registry, const char *name, const char *help, double value)
 {
     prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({}).Set(value);
@@ -190,7 +235,9 @@
     addRejections(registry, entry);
     addLatencies(registry, entry);
     addTraffic(registry, entry);
-    addGauge(registry, "flamingotally_is_owner", "1 if this daemon is the owner, else 0.", entry.isOwner() ? 1 : 0);
+    for (const auto &row : gaugeTable) {
+        addGauge(registry, row.name, row.help, static_cast<double>(row.value(entry)));
+    }
     addGauge(registry,
              "flamingotally_config_age_seconds",
              "Age of this daemon's view of the configuration.",
@@ -199,16 +246,6 @@
              "flamingotally_journal_age_seconds",
              "Age of this daemon's view of the journal.",
              secondsSince(entry.journal.asOf, now));
-    addGauge(
-        registry, "flamingotally_jobs", "Jobs in this daemon's table.", static_cast<double>(entry.jobs.table.size()));
-    addGauge(registry,
-             "flamingotally_runs",
-             "Active runs; zero unless this daemon is the owner.",
-             static_cast<double>(entry.work.runs.size()));
-    addGauge(registry,
-             "flamingotally_waiting_groups",
-             "Groups of tasks that wait to be placed.",
-             static_cast<double>(entry.work.waitingGroups.size()));
     return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
--- a/src/dispatch/policy/order_pacing.h
+++ b/src/dispatch/policy/order_pacing.h
@@ -19,6 +19,11 @@
 
 constexpr std::uint32_t minWindow = 4; ///< Orders that may always be in flight.
 constexpr std::uint32_t maxWindow = 1'024;
+/**
+ * Orders that may be in flight to one worker. They share a connection, so that each waits for those before it, and that
+ * wait must not look like a congested link.
+ */
+constexpr std::uint32_t maxInFlightPerWorker = 4;
 /** A link whose typical response takes longer is congested. */
 constexpr Milliseconds congestedResponse{100};
 /** Response times that must be known before the link can count as congested. */
--- a/src/dispatch/systems/load_report.cpp
+++ b/src/dispatch/systems/load_report.cpp
@@ -97,7 +97,8 @@
             entry,
             EventKind::Load,
             0,
-            "owner={} journal_age_ms={} calls_open={} ticks={} tick_time_ms={} longest_tick_ms={} tick_delay_ms={}{}{}",
+            "owner={} journal_age_ms={} calls_open={} ticks={} tick_time_ms={} longest_tick_ms={} tick_delay_ms={} "
+            "worker_connections={} other_connections={} calls_waiting={}{}{}",
             entry.isOwner(),
             (time.now - entry.journal.asOf).count(),
             entry.calls.size(),
@@ -105,6 +106,9 @@
             report.tickTime.count(),
             report.longestTick.count(),
             entry.ownership.tickDelay.count(),
+            entry.connections.toWorkers,
+            entry.connections.toOthers,
+            entry.connections.waitingCalls,
             entry.isOwner() ? describeOwner(entry, time) : std::string(),
             describeTraffic(entry));
     }
--- a/src/dispatch/systems/order.cpp
+++ b/src/dispatch/systems/order.cpp
@@ -4,6 +4,8 @@
 #include "dispatch/systems/systems.h"
 #include "dispatch/work_func.h"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <algorithm>
 
 namespace flamingotally::dispatch
@@ -162,27 +164,40 @@
     }
 };
 
-/** Sends due orders in their order, as far as the window allows. */
-void sendDueOrders(Entry &entry, std::vector<DueOrder> &due, std::size_t inFlight, const TickTime &time)
+/** Orders in flight. */
+struct OrdersInFlight {
+    std::size_t total = 0;
+    absl::flat_hash_map<WorkerRef, std::uint32_t> byWorker;
+};
+
+/** Sends due orders in their order, as far as the window and the limit of each worker allow. */
+void sendDueOrders(Entry &entry, std::vector<DueOrder> &due, OrdersInFlight &inFlight, const TickTime &time)
 {
     auto &pacing = entry.workers.pacing;
-    const std::size_t allowed = pacing.window > inFlight ? pacing.window - inFlight : 0;
-    if (due.size() > allowed) {
-        std::ranges::sort(due, {}, &DueOrder::key);
-    }
-    const auto n = std::min(due.size(), allowed);
-    pacing.ordersWaiting = due.size() - n;
-    for (std::size_t i = 0; i < n; ++i) {
-        const auto run = due[i].run;
-        if (!entry.work.runs.contains(run)) {
-            continue; // discarded with its gang by an earlier order of the loop
+    const std::size_t allowed = pacing.window > inFlight.total ? pacing.window - inFlight.total : 0;
+    std::ranges::sort(due, {}, &DueOrder::key);
+    std::size_t sent = 0;
+    for (const auto &it : due) {
+        if (sent == allowed) {
+            break;
         }
-        if (entry.work.runs.get<RunState>(run).phase == RunPhase::Ordered) {
-            startIfRoom(entry, run, time);
+        if (!entry.work.runs.contains(it.run)) {
+            ++sent; // discarded with its gang by an earlier order of the loop
+            continue;
+        }
+        auto &toWorker = inFlight.byWorker[entry.work.runs.get<RunIdentity>(it.run).worker];
+        if (toWorker == order_pacing::maxInFlightPerWorker) {
+            continue;
+        }
+        ++toWorker;
+        ++sent;
+        if (entry.work.runs.get<RunState>(it.run).phase == RunPhase::Ordered) {
+            startIfRoom(entry, it.run, time);
         } else {
-            sendStop(entry, run);
+            sendStop(entry, it.run);
         }
     }
+    pacing.ordersWaiting = due.size() - sent;
 }
 
 } // namespace
@@ -194,10 +209,13 @@
     }
     const bool isAllowed = mayStart(entry, time);
     std::vector<DueOrder> due;
-    std::size_t inFlight = 0;
+    OrdersInFlight inFlight;
     entry.work.runs.forEach([&](RunRef run) {
         const auto &state = entry.work.runs.get<RunState>(run);
-        inFlight += state.inFlight ? 1 : 0;
+        if (state.inFlight) {
+            ++inFlight.total;
+            ++inFlight.byWorker[entry.work.runs.get<RunIdentity>(run).worker];
+        }
         if ((isAllowed || state.phase == RunPhase::Stopping) && isOrderDue(entry, run, time)) {
             due.push_back({state.phase == RunPhase::Ordered, state.sendAt, run});
         }
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -282,9 +282,11 @@
         logEvent(entry,
                  EventKind::WorkerLost,
                  0,
-                 "worker={} address={} lease_left_ms={} runs={}",
+                 "worker={} address={} cause={} listed={} lease_left_ms={} runs={}",
                  identity.id,
                  identity.address,
+                 flamingotally::nameOf(orderResultTable, response.result),
+                 entry.workers.table.get<WorkerHealth>(response.worker).listed,
                  (link.leaseExpiresAt - time.now).count(),
                  entry.workers.table.get<WorkerLoad>(response.worker).runs.size());
     }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,18 +1,15 @@
 #include "net/http_client.h"
 
 #include "core/error.h"
-#include "core/table.h"
 #include "net/clock.h"
-#include "net/coroutine.h"
 #include "net/endpoint.h"
+#include "net/http_connections.h"
 #include "table/http_table.h"
 
-#include <absl/container/flat_hash_map.h>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 namespace flamingotally
@@ -23,19 +20,6 @@
 namespace
 {
 
-struct ConnectionTag;
-
-/** A connection to another process, in use or idle. */
-using ConnectionPtr = std::unique_ptr<beast::tcp_stream>;
-using ConnectionTable = Table<ConnectionTag, ConnectionPtr>;
-using ConnectionRef = ConnectionTable::RowRef;
-
-/** A connection that no call uses. */
-struct IdleConnection {
-    ConnectionRef ref;
-    std::uint64_t number = 0; ///< Counts releases, so the lowest number has been idle for longest.
-};
-
 http::request<http::string_body> toMessage(HttpCall &call)
 {
     const auto name = rowOf(httpMethodTable, call.method).name;
@@ -67,20 +51,6 @@
     return response;
 }
 
-/** Returns whether an idle connection can be reused: the other side has neither closed it nor sent anything. */
-bool isUsable(beast::tcp_stream &stream)
-{
-    auto &socket = stream.socket();
-    error_code ec;
-    socket.non_blocking(true, ec);
-    if (ec) {
-        return false;
-    }
-    char byte = 0;
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-    return ec == asio::error::would_block;
-}
-
 absl::Status callError(absl::StatusCode code, const HttpCall &call, std::string_view text)
 {
     return makeError(code, call.step, call.address, text);
@@ -97,17 +67,14 @@
 
 /** State that exists until the last operation on it has ended. */
 struct HttpClient::State {
-    State(asio::io_context &context, HttpClientSettings bounds) : io(context), settings(bounds)
+    State(asio::io_context &context, HttpClientSettings settings)
+        : io(context), connections(std::make_shared<HttpConnections>(context, settings))
     {
     }
 
     asio::io_context &io;
-    HttpClientSettings settings;
-    ConnectionTable connections;
+    std::shared_ptr<HttpConnections> connections;
     TrafficByStep traffic{};
-    absl::flat_hash_map<std::string, std::vector<IdleConnection>> idle; ///< By address, the latest released last.
-    std::map<std::uint64_t, std::string> idleByAge; ///< Addresses of the idle connections, by IdleConnection::number.
-    std::uint64_t releases = 0; ///< Connections released so far.
 };
 
 namespace
@@ -116,66 +83,6 @@
 using State = HttpClient::State;
 using StatePtr = std::shared_ptr<State>;
 
-/** Removes a usable connection to an address from the idle ones, closing unusable ones; unset if none is usable. */
-ConnectionRef takeIdle(State &state, const std::string &address)
-{
-    const auto it = state.idle.find(address);
-    if (it == state.idle.end()) {
-        return {};
-    }
-    auto &idle = it->second;
-    while (!idle.empty()) {
-        const auto [ref, number] = idle.back();
-        idle.pop_back();
-        state.idleByAge.erase(number);
-        if (isUsable(*state.connections.get<ConnectionPtr>(ref))) {
-            return ref;
-        }
-        state.connections.erase(ref);
-    }
-    return {};
-}
-
-/** Keeps a connection open for the next call, or closes it if the address has enough idle ones. */
-void releaseConnection(State &state, const std::string &address, ConnectionRef ref)
-{
-    if (auto &idle = state.idle[address]; idle.size() < state.settings.maxIdlePerAddress) {
-        state.connections.get<ConnectionPtr>(ref)->expires_never();
-        idle.push_back({ref, ++state.releases});
-        state.idleByAge.emplace(state.releases, address);
-        return;
-    }
-    state.connections.erase(ref);
-}
-
-/** Closes the idle connections to an address. Used after a call without a response: the address may be unreachable. */
-void closeIdleConnections(State &state, const std::string &address)
-{
-    if (const auto it = state.idle.find(address); it != state.idle.end()) {
-        for (const auto &[ref, number] : std::exchange(it->second, {})) {
-            state.connections.erase(ref);
-            state.idleByAge.erase(number);
-        }
-    }
-}
-
-/** Returns true if a call may open a connection; at the limit, closes the one that has been idle for longest. */
-bool makeRoom(State &state)
-{
-    if (state.connections.size() < state.settings.maxConnections) {
-        return true;
-    }
-    if (state.idleByAge.empty()) {
-        return false;
-    }
-    const auto oldest = state.idleByAge.begin();
-    auto &idle = state.idle[oldest->second];
-    state.connections.erase(idle.front().ref); // the first released of an address is also its oldest
-    idle.erase(idle.begin());
-    state.idleByAge.erase(oldest);
-    return true;
-}
-
 /** Receives a response; its time-out begins anew with each part that arrives if the call says so. */
 awaitable<error_code> receiveResponse(beast::tcp_stream &stream,
                                       const HttpCall &call,
@@ -241,42 +148,52 @@
     co_return absl::OkStatus();
 }
 
-/** Makes one call; reuses an idle connection to the address if there is one. */
-awaitable<HttpResult> perform(const StatePtr &state, HttpCall &call)
+/** Sends a request on the connection that was assigned to its call, and receives the response. */
+awaitable<HttpResult> performOn(State &state,
+                                AssignedConnection assigned,
+                                const HttpCall &call,
+                                const http::request<http::string_body> &message,
+                                TimerTime deadline)
 {
-    auto &traffic = state->traffic[static_cast<std::size_t>(call.step)];
-    ++traffic.calls;
-    const auto message = toMessage(call); // before a connection is taken, as it throws if the call cannot be sent
-    auto ref = takeIdle(*state, call.address);
-    const bool isOpen = ref.isSet();
-    if (!isOpen && !makeRoom(*state)) {
-        ++traffic.failures;
-        co_await asio::post(state->io, asio::use_awaitable);
-        co_return callError(absl::StatusCode::kUnavailable, call, "connection limit reached");
-    }
-    if (!isOpen) {
-        ref = state->connections.insert(std::make_unique<beast::tcp_stream>(state->io));
-    }
-    auto &stream = *state->connections.get<ConnectionPtr>(ref);
-    stream.expires_after(call.timeout);
+    const Destination destination{call.address, call.channel};
+    const bool isOpen = assigned.ref.isSet();
+    const auto ref = isOpen ? assigned.ref : addConnection(*state.connections);
+    auto &stream = *state.connections->table.get<ConnectionPtr>(ref);
+    stream.expires_at(deadline);
     if (!isOpen) {
         if (auto status = co_await connect(stream, call); !status.ok()) {
-            ++traffic.failures;
-            state->connections.erase(ref);
+            closeConnection(*state.connections, destination, ref);
             co_return status;
         }
     }
     bool keepAlive = false;
+    auto &traffic = state.traffic[static_cast<std::size_t>(call.step)];
     auto result = co_await exchangeMessages(stream, call, message, traffic, keepAlive);
     if (!result.ok()) {
-        ++traffic.failures;
-        closeIdleConnections(*state, call.address);
+        closeIdleConnections(*state.connections, destination);
     }
     if (keepAlive) {
-        releaseConnection(*state, call.address, ref);
+        releaseConnection(state.connections, destination, ref);
     } else {
-        state->connections.erase(ref);
+        closeConnection(*state.connections, destination, ref);
+    }
+    co_return result;
+}
+
+/** Makes one call. */
+awaitable<HttpResult> perform(const StatePtr &state, HttpCall &call)
+{
+    auto &traffic = state->traffic[static_cast<std::size_t>(call.step)];
+    ++traffic.calls;
+    const auto deadline = asio::steady_timer::clock_type::now() + call.timeout;
+    const auto message = toMessage(call); // before a connection is taken, as it throws if the call cannot be sent
+    const auto assigned = co_await acquireConnection(state->connections, call, deadline);
+    if (!assigned.ok()) {
+        ++traffic.failures;
+        co_return assigned.status();
     }
+    auto result = co_await performOn(*state, *assigned, call, message, deadline);
+    traffic.failures += result.ok() ? 0 : 1;
     co_return result;
 }
 
@@ -316,15 +233,14 @@
     return m_state->traffic;
 }
 
+ConnectionsByChannel HttpClient::connections() const
+{
+    return countConnections(*m_state->connections);
+}
+
 void HttpClient::close()
 {
-    for (const auto &[address, idle] : std::exchange(m_state->idle, {})) {
-        for (const auto &it : idle) {
-            m_state->connections.erase(it.ref);
-        }
-    }
-    m_state->idleByAge.clear();
-    m_state->connections.forEach([this](ConnectionRef ref) { m_state->connections.get<ConnectionPtr>(ref)->close(); });
+    closeAllConnections(*m_state->connections);
 }
 
 } // namespace flamingotally
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -17,7 +17,8 @@
 
 /** Limits of a client. */
 struct HttpClientSettings {
-    std::size_t maxIdlePerAddress = 8; ///< Idle connections that are kept open for each address.
+    std::size_t maxIdlePerAddress = 8; ///< Idle connections that are kept open for each address and channel.
+    Milliseconds idleTimeout{5'000}; ///< A connection that has been idle for this long is closed.
     /** At this limit the connection that has been idle for longest makes room; if none is idle, a call is not sent. */
     std::size_t maxConnections = 3'000;
 };
@@ -33,6 +34,16 @@
 /** Traffic since the client was made, by step. */
 using TrafficByStep = std::array<StepTraffic, enumSize<Step>>;
 
+/** Connections of a channel. */
+struct ChannelConnections {
+    std::size_t open = 0; ///< In use, being opened, and idle.
+    std::size_t idle = 0;
+    std::size_t waitingCalls = 0; ///< Calls that wait until a connection becomes free.
+};
+
+/** Connections by channel. */
+using ConnectionsByChannel = std::array<ChannelConnections, enumSize<HttpChannel>>;
+
 /** Makes calls to other processes. All of its code runs on the thread that runs the io_context. */
 class HttpClient
 {
@@ -49,12 +60,15 @@
      */
     void send(HttpCall call, HttpCallback callback);
 
-    /** Closes all connections; calls in progress fail. */
+    /** Closes all connections; calls in progress fail, and so do later ones. */
     void close();
 
     /** Returns what the calls have sent and received so far. */
     const TrafficByStep &traffic() const;
 
+    /** Returns the number of connections and waiting calls. */
+    ConnectionsByChannel connections() const;
+
     struct State;
 
 private:
--- a/src/net/http_type.h
+++ b/src/net/http_type.h
@@ -65,15 +65,28 @@
 /** Handles a request. Runs on the thread of the server's io_context and must not block. */
 using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
 
+/**
+ * Channel of a call. Calls to one address share connections with those of the same channel only, and wait only for
+ * them: a channel whose calls take long delays no other one. table/http_table.h has the limits.
+ */
+enum class HttpChannel : std::uint8_t {
+    General,
+    Polls, ///< Calls that the other side may answer late on purpose.
+    Orders,
+    End,
+};
+
 /** A request to another process. */
 struct HttpCall {
     std::string address{}; ///< "IP:port".
+    HttpChannel channel = HttpChannel::General;
     HttpMethod method = HttpMethod::Get;
     std::string target{}; ///< Path and query, encoded.
     std::vector<HttpField> fields{}; ///< Header fields.
     std::string contentType = "application/json"; ///< Type of the body; not sent without a body.
     std::string body{};
-    Milliseconds timeout{2'000}; ///< Covers connecting, sending and receiving, unless `maxReceiveTime` is set.
+    /** Covers waiting for a connection, connecting, sending and receiving, unless `maxReceiveTime` is set. */
+    Milliseconds timeout{2'000};
     /** If not zero, `timeout` begins anew with each part of the response that arrives, for this time at most. */
     Milliseconds maxReceiveTime{0};
     std::size_t maxResponseBytes = 4 * 1024 * 1024;
--- a/src/table/http_table.h
+++ b/src/table/http_table.h
@@ -1,4 +1,4 @@
-/** @file http_table.h Names of the HTTP methods. */
+/** @file http_table.h Names of the HTTP methods; names and limits of the channels of calls. */
 #pragma once
 
 #include "core/enum_table.h"
@@ -16,4 +16,18 @@
 }};
 static_assert(isComplete(httpMethodTable));
 
+/** Name and limit of a channel. */
+struct HttpChannelRow {
+    HttpChannel value;
+    std::string_view name;
+    std::size_t maxPerAddress; ///< Connections that a client may have open to one address, in use and idle.
+};
+
+constexpr EnumTable<HttpChannel, HttpChannelRow> httpChannelTable{{
+    {HttpChannel::General, "general", 256},
+    {HttpChannel::Polls, "polls", 1},
+    {HttpChannel::Orders, "orders", 1},
+}};
+static_assert(isComplete(httpChannelTable));
+
 } // namespace flamingotally
--- a/standin/platform_standin.cpp
+++ b/standin/platform_standin.cpp
@@ -27,6 +27,7 @@
 constexpr unsigned statusGone = 410;
 constexpr unsigned statusOtherInstance = 421;
 constexpr unsigned statusUnavailable = 503;
+constexpr Milliseconds workerIdleTimeout{86'400'000}; ///< Longer than any trial.
 constexpr Resources workerCapacity{4'000, 16'384, 0};
 
 /** Returns a parameter of the query, or an empty text when it is missing. */
@@ -186,7 +187,7 @@
 
 } // namespace
 
-PlatformStandin::PlatformStandin(boost::asio::io_context &io, std::size_t workers)
+PlatformStandin::PlatformStandin(boost::asio::io_context &io, std::size_t workers, std::size_t connectionsPerWorker)
     : m_io(io),
       m_store(
           io, {}, [this](const HttpRequest &request, const HttpResponder &respond) { handleStore(request, respond); }),
@@ -206,9 +207,9 @@
                                 }};
         worker.model = std::make_unique<WorkerModel>(worker.id, workerCapacity, hooks, now());
         worker.server = std::make_unique<HttpServer>(
-            io, HttpServerSettings{}, [this, n](const HttpRequest &request, const HttpResponder &respond) {
-                handleWorker(n, request, respond);
-            });
+            io,
+            HttpServerSettings{.maxConnections = connectionsPerWorker, .idleTimeout = workerIdleTimeout},
+            [this, n](const HttpRequest &request, const HttpResponder &respond) { handleWorker(n, request, respond); });
         worker.server->listen(anyPort).IgnoreError();
         const json::object entry{
             {"service", "pool"},
--- a/standin/platform_standin.h
+++ b/standin/platform_standin.h
@@ -28,6 +28,9 @@
     End,
 };
 
+/** Connections that a worker takes, from all daemons together. It closes none by itself, and lets further ones wait. */
+constexpr std::size_t workerConnections = 64;
+
 /** A small platform on loopback. All of it runs on the given I/O context. */
 class PlatformStandin
 {
@@ -36,8 +39,11 @@
      * Starts a platform that listens on free ports of 127.0.0.1.
      * @param io Context that runs all servers and timers.
      * @param workers Number of workers; each has four cores.
+     * @param connectionsPerWorker Connections that each worker takes.
      */
-    PlatformStandin(boost::asio::io_context &io, std::size_t workers);
+    PlatformStandin(boost::asio::io_context &io,
+                    std::size_t workers,
+                    std::size_t connectionsPerWorker = workerConnections);
 
     /** Returns "IP:port" of the store. */
     std::string storeAddress() const;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -18,6 +18,12 @@
     CPPUNIT_TEST(connectionIsReused);
     CPPUNIT_TEST(requestOnRefusedConnectionWasNeverSent);
     CPPUNIT_TEST(idleConnectionMakesRoomForANewOne);
+    CPPUNIT_TEST(holdsNoMoreConnectionsThanTheChannelAllows);
+    CPPUNIT_TEST(channelsDoNotWaitForEachOther);
+    CPPUNIT_TEST(callWithoutAConnectionInTimeWasNeverSent);
+    CPPUNIT_TEST(replacesAConnectionWhoseCallGotNoResponse);
+    CPPUNIT_TEST(closesConnectionsThatStayIdle);
+    CPPUNIT_TEST(closeEndsWaitingCalls);
     CPPUNIT_TEST(closeWithoutResponseMeansUnknownOutcome);
     CPPUNIT_TEST(unresponsiveServerTimesOut);
     CPPUNIT_TEST(closedIdleConnectionIsNotReused);
@@ -141,6 +147,98 @@
         CPPUNIT_ASSERT(pending->ok());
     }
 
+    /** A burst of orders opened a connection for each, so that a lost host left dozens of them at a worker. */
+    void holdsNoMoreConnectionsThanTheChannelAllows()
+    {
+        startServer();
+        m_respondsAtOnce = false;
+        constexpr std::size_t calls = 6;
+        std::vector<std::string> responses;
+        for (std::size_t n = 0; n < calls; ++n) {
+            sendOn(HttpChannel::Orders, std::to_string(n), responses);
+        }
+        for (std::size_t n = 0; n < calls; ++n) {
+            runUntil(*m_io, [&] { return m_responders.size() == n + 1; });
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_server->connectionCount());
+            CPPUNIT_ASSERT_EQUAL(std::to_string(n), m_requests.at(n).body);
+            m_responders.at(n)({.body = "done"});
+            runUntil(*m_io, [&] { return responses.size() == n + 1; });
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, openOn(HttpChannel::Orders));
+    }
+
+    void channelsDoNotWaitForEachOther()
+    {
+        startServer();
+        m_respondsAtOnce = false;
+        std::vector<std::string> responses;
+        sendOn(HttpChannel::Polls, "poll", responses);
+        runUntil(*m_io, [&] { return m_responders.size() == 1; });
+        m_respondsAtOnce = true;
+        sendOn(HttpChannel::Orders, "order", responses);
+        runUntil(*m_io, [&] { return responses.size() == 1; });
+        m_responders.at(0)({.body = "late"});
+        runUntil(*m_io, [&] { return responses.size() == 2; });
+        CPPUNIT_ASSERT_EQUAL(std::string("late"), responses.at(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_server->connectionCount());
+    }
+
+    void callWithoutAConnectionInTimeWasNeverSent()
+    {
+        startServer();
+        m_respondsAtOnce = false;
+        std::vector<std::string> responses;
+        sendOn(HttpChannel::Orders, "slow", responses);
+        runUntil(*m_io, [&] { return m_responders.size() == 1; });
+        const auto result = call({.channel = HttpChannel::Orders, .target = "/", .timeout = Milliseconds{20}});
+        CPPUNIT_ASSERT(wasNeverSent(result.status()));
+        m_responders.at(0)({.body = "slow"});
+        runUntil(*m_io, [&] { return responses.size() == 1; });
+        m_respondsAtOnce = true;
+        CPPUNIT_ASSERT(call({.channel = HttpChannel::Orders, .target = "/"}).ok());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_requests.size());
+    }
+
+    void replacesAConnectionWhoseCallGotNoResponse()
+    {
+        startServer();
+        m_respondsAtOnce = false;
+        for (int n = 0; n < 3; ++n) {
+            const auto result = call({.channel = HttpChannel::Orders, .target = "/", .timeout = Milliseconds{20}});
+            CPPUNIT_ASSERT(result.status().code() == absl::StatusCode::kDeadlineExceeded);
+        }
+        m_responders.clear();
+        m_respondsAtOnce = true;
+        CPPUNIT_ASSERT(call({.channel = HttpChannel::Orders, .target = "/"}).ok());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, openOn(HttpChannel::Orders));
+    }
+
+    /** A daemon that had given its cell away kept its connections to all workers as long as it lived. */
+    void closesConnectionsThatStayIdle()
+    {
+        startServer();
+        HttpClient client(*m_io, {.idleTimeout = Milliseconds{5}});
+        CPPUNIT_ASSERT(callAndWait(*m_io, client, callTo({.target = "/"})).ok());
+        CPPUNIT_ASSERT(callAndWait(*m_io, client, callTo({.channel = HttpChannel::Orders, .target = "/"})).ok());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_server->connectionCount());
+        runUntil(*m_io, [this] { return m_server->connectionCount() == 0; });
+        CPPUNIT_ASSERT(callAndWait(*m_io, client, callTo({.target = "/"})).ok());
+    }
+
+    void closeEndsWaitingCalls()
+    {
+        startServer();
+        m_respondsAtOnce = false;
+        std::vector<std::string> responses;
+        sendOn(HttpChannel::Orders, "first", responses);
+        sendOn(HttpChannel::Orders, "second", responses);
+        runUntil(*m_io, [&] { return m_responders.size() == 1; });
+        m_client->close();
+        runUntil(*m_io, [&] { return responses.size() == 2; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, openOn(HttpChannel::Orders));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_requests.size());
+    }
+
     void closeWithoutResponseMeansUnknownOutcome()
     {
         startServer();
@@ -314,6 +412,20 @@
         return call;
     }
 
+    /** Sends a call on a channel. @param responses Receives the body of the response, or the error. */
+    void sendOn(HttpChannel channel, const std::string &body, std::vector<std::string> &responses)
+    {
+        m_client->send(callTo({.channel = channel, .method = HttpMethod::Post, .target = "/", .body = body}),
+                       [&responses](const HttpResult &result) {
+                           responses.push_back(result.ok() ? result->body : messageOf(result.status()));
+                       });
+    }
+
+    std::size_t openOn(HttpChannel channel) const
+    {
+        return m_client->connections()[static_cast<std::size_t>(channel)].open;
+    }
+
     HttpResult call(HttpCall call)
     {
         return callAndWait(*m_io, *m_client, callTo(std::move(call)));
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -6,7 +6,7 @@
 #include "entry_daemon.h"
 #include "job_codec.h"
 #include "net_fixture.h"
-#include "platform_standin.h"
+#include "platform_fixture.h"
 #include "store_client.h"
 #include "worker_entry_codec.h"
 
@@ -22,26 +22,10 @@
 namespace
 {
 
-constexpr const char *configText = R"({"version":3,"routes":[
-    {"name":"r","host":"queue.example","pathPrefix":"/q/","service":"pool","priority":0,"maxAttempts":2,"stretch":2.0,
-     "targetLatencyMs":100,"advice":{"decideMs":1.0,"eachMs":0.1,"validMs":2000},"public":false}],
-    "services":[{"name":"pool","rejectsOverload":false}],
-    "tenants":[{"name":"red","apiKeys":["red key"],"weight":2,"upperLimit":{"cpu":0,"memMb":0,"gpu":0}}]})";
-
 constexpr const char *jobText = R"({"spec":"text","steps":[
     {"count":3,"cpu":500,"memMb":256,"estRuntimeMs":100},
     {"count":2,"cpu":1000,"memMb":256,"estRuntimeMs":100,"dependsOn":[0]}]})";
 
-/**
- * Returns a loopback address with a port that is free now. Another connection of the tests may take the port before a
- * daemon binds it.
- */
-std::string freeAddress(boost::asio::io_context &io)
-{
-    boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port());
-}
-
 /** Two entry daemons and the platform stand-in to which they connect. */
 struct PlatformFixture {
     explicit PlatformFixture(std::size_t workers) : standin(io, workers)
@@ -57,15 +41,7 @@
     /** Starts a daemon; returns false if one of its ports was taken before it was bound. */
     bool startDaemon(const std::string &name)
     {
-        EntrySettings settings;
-        settings.name = name;
-        settings.frontAddress = freeAddress(io);
-        settings.readyAddress = freeAddress(io);
-        settings.peerAddress = freeAddress(io);
-        settings.metricsAddress = freeAddress(io);
-        settings.storeAddress = standin.storeAddress();
-        settings.adviceAddress = standin.adviceAddress();
-        settings.logLevel = LogLevel::Error;
+        const auto settings = entrySettings(io, standin, name);
         auto daemon = std::make_unique<platform::EntryDaemon>(io, settings, [] {});
         if (!daemon->start().ok()) {
             return false;
