Judge the absence of a run only by a report that covers it

Cause: a worker lists 500 ends at a time, and further ones once these are acknowledged, which waits for the store. A run whose end was beyond them stood in neither list, and applyMissing() took it for lost: its task was placed again. The same held for runs being stopped and for those that a new owner takes over.

Now a report tells whether more ends follow, and shows nothing of a run that it lacks while they do. If a row cannot be read, the run that lacks it is stopped before its task is placed again; its end is acknowledged with the others if its number can be read, so that no list stands still. Whether and how long reports are cut off is logged, and so is why a run was lost, by one function in place of three.

--- a/src/dispatch/message_type.h
+++ b/src/dispatch/message_type.h
@@ -98,6 +98,9 @@
     std::vector<RunningRow> running;
     std::vector<EndRow> ended;
     bool hasMalformedRows = false; ///< The report had rows that were skipped.
+    /** Highest number in the rows of `ended`, also in those that were skipped; zero for none. */
+    std::uint64_t lastEndNumber = 0;
+    bool hasMoreEnds = false; ///< `ended` was cut off: the worker lists further ends once these are acknowledged.
     MonotonicTime sentAt{};
     MonotonicTime receivedAt{};
 };
--- a/src/dispatch/systems/lease.cpp
+++ b/src/dispatch/systems/lease.cpp
@@ -27,14 +27,7 @@
         const auto &state = entry.work.runs.get<RunState>(run);
         const bool mayHaveStarted = state.startsSent > 0 || state.phase == RunPhase::Unverified;
         if (mayHaveStarted) {
-            ++entry.counters.lostRuns;
-            logEvent(entry,
-                     EventKind::RunLost,
-                     nameOf(entry, entry.work.runs.get<RunIdentity>(run).task).job,
-                     "worker={} cause=\"lease expired\" silent_ms={}",
-                     entry.workers.table.get<WorkerIdentity>(worker).id,
-                     (time.now - entry.workers.table.get<WorkerLink>(worker).lastResponseAt).count());
-            endRun(entry, run, RunEnd::LeaseExpired, {}, time);
+            loseRun(entry, run, "lease expired", time);
         } else {
             discardRun(entry, run, time);
         }
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -10,6 +10,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace flamingotally::dispatch
 {
@@ -98,6 +99,7 @@
     link.lastEndStored = 0;
     link.lastEndAcknowledged = 0;
     link.pendingEnds.clear();
+    link.cutOffSince = {};
     if (!isRestarted) {
         return;
     }
@@ -206,8 +208,18 @@
     }
 }
 
-/** Applies the run ends of a worker's report that are new, and notes in which batch each will be stored, if that is
- * known. */
+/** Notes that a run end was applied, and in which batch it will be stored, if that is known. */
+void noteEnd(Entry &entry, WorkerRef worker, std::uint64_t number)
+{
+    auto &link = entry.workers.table.get<WorkerLink>(worker);
+    link.lastEndApplied = number;
+    link.pendingEnds.push_back({number, entry.work.deferred.empty() ? nextOwnerBatch(entry) : 0});
+}
+
+/**
+ * Applies the run ends of a worker's report that are new. One in a malformed row at the end of the list is acknowledged
+ * like the others, as the worker would list it, and no later ones, for good.
+ */
 void applyEnds(Entry &entry, const PollResponse &response, const TickTime &time)
 {
     for (const auto &row : response.ended) {
@@ -220,9 +232,10 @@
         } else if (row.how == RunEnd::Done) {
             endUnknownRun(entry, row.task, time);
         }
-        auto &link = entry.workers.table.get<WorkerLink>(response.worker);
-        link.lastEndApplied = row.number;
-        link.pendingEnds.push_back({row.number, entry.work.deferred.empty() ? nextOwnerBatch(entry) : 0});
+        noteEnd(entry, response.worker, row.number);
+    }
+    if (response.lastEndNumber > entry.workers.table.get<WorkerLink>(response.worker).lastEndApplied) {
+        noteEnd(entry, response.worker, response.lastEndNumber);
     }
 }
 
@@ -244,25 +257,85 @@
     }
 }
 
-/** Ends or discards runs that the worker should have reported and did not: they disappeared or never started. */
+/** How much a report covers, which decides what the absence of a run from it shows. */
+enum class Coverage : std::uint8_t {
+    Complete, ///< All running runs and all ends: a run that is absent has disappeared or never started.
+    PartlyUnreadable, ///< Some rows could not be read, and one of them may be about a run that is absent.
+    CutOff, ///< Not all ends: that of a run that is absent may follow in a later report.
+};
+
+/** Returns how much a report covers, after its ends were applied. */
+Coverage coverageOf(const Entry &entry, const PollResponse &response)
+{
+    const auto &link = entry.workers.table.get<WorkerLink>(response.worker);
+    // a list of which nothing is left to be acknowledged gets no shorter, so that no further ends follow
+    if (response.hasMoreEnds && response.lastEndNumber > link.lastEndAcknowledged) {
+        return Coverage::CutOff;
+    }
+    return response.hasMoreEnds || response.hasMalformedRows ? Coverage::PartlyUnreadable : Coverage::Complete;
+}
+
+/** Logs when the reports of a worker begin to be cut off, and when they are complete again. */
+void recordCoverage(Entry &entry, const PollResponse &response, Coverage coverage, const TickTime &time)
+{
+    const auto &worker = entry.workers.table.get<WorkerIdentity>(response.worker).id;
+    auto &since = entry.workers.table.get<WorkerLink>(response.worker).cutOffSince;
+    const bool wasCutOff = since != MonotonicTime{};
+    if (coverage == Coverage::CutOff && !wasCutOff) {
+        since = time.now;
+        logEvent(entry,
+                 EventKind::ReportCutOff,
+                 0,
+                 "worker={} running={} ends={} runs={}",
+                 worker,
+                 response.running.size(),
+                 response.ended.size(),
+                 entry.workers.table.get<WorkerLoad>(response.worker).runs.size());
+    } else if (coverage != Coverage::CutOff && wasCutOff) {
+        logEvent(entry,
+                 EventKind::ReportComplete,
+                 0,
+                 "worker={} cut_off_ms={}",
+                 worker,
+                 (time.now - std::exchange(since, MonotonicTime{})).count());
+    }
+}
+
+/**
+ * Ends or discards a run that a report lacks though it would be listed if it were still running. If its row may have
+ * been unreadable, it is stopped first, so that it certainly does not run when its task is placed again.
+ */
+void applyAbsence(Entry &entry, RunRef run, Coverage coverage, const TickTime &time)
+{
+    const auto phase = entry.work.runs.get<RunState>(run).phase;
+    if (coverage == Coverage::PartlyUnreadable && phase != RunPhase::Stopping) {
+        stopRun(entry, run, time);
+    } else if (phase == RunPhase::Running) {
+        loseRun(entry, run, "not in the worker's report", time);
+    } else {
+        discardRun(entry, run, time);
+    }
+}
+
+/**
+ * Ends or discards runs that the worker should have reported and did not: they disappeared or never started. A report
+ * that was cut off shows that of no run.
+ */
 void applyMissing(Entry &entry,
                   const PollResponse &response,
                   const absl::flat_hash_set<std::uint32_t> &seen,
                   const TickTime &time)
 {
+    const auto coverage = coverageOf(entry, response);
+    recordCoverage(entry, response, coverage, time);
+    if (coverage == Coverage::CutOff) {
+        return;
+    }
     const auto runs = entry.workers.table.get<WorkerLoad>(response.worker).runs;
     for (const auto run : runs) {
-        if (!entry.work.runs.contains(run) || seen.contains(run.index)) {
-            continue;
-        }
-        const auto &state = entry.work.runs.get<RunState>(run);
-        if (!isConfirmedBefore(state, response.sentAt)) {
-            continue;
-        }
-        if (state.phase == RunPhase::Running) {
-            endRun(entry, run, RunEnd::LeaseExpired, {}, time);
-        } else {
-            discardRun(entry, run, time);
+        if (entry.work.runs.contains(run) && !seen.contains(run.index)
+            && isConfirmedBefore(entry.work.runs.get<RunState>(run), response.sentAt)) {
+            applyAbsence(entry, run, coverage, time);
         }
     }
 }
@@ -327,7 +400,7 @@
     link.clock = response.clock;
     link.clockReadAt = response.receivedAt;
     updateLeaseExpiry(link);
-    // a worker answers at once as long as an end is not acknowledged, and one in a malformed row never is
+    // a worker answers at once as long as an end is not acknowledged, and one without a readable number never is
     link.pollAt = time.now + (response.hasMalformedRows ? malformedRowPause : Milliseconds{0});
     link.hasStrayRuns = false;
     absl::flat_hash_set<std::uint32_t> seen;
--- a/src/dispatch/work_end.cpp
+++ b/src/dispatch/work_end.cpp
@@ -268,6 +268,21 @@
     }
 }
 
+void loseRun(Entry &entry, RunRef run, std::string_view cause, const TickTime &time)
+{
+    const auto identity = entry.work.runs.get<RunIdentity>(run);
+    ++entry.counters.lostRuns;
+    logEvent(entry,
+             EventKind::RunLost,
+             nameOf(entry, identity.task).job,
+             "worker={} cause=\"{}\" phase={} silent_ms={}",
+             entry.workers.table.get<WorkerIdentity>(identity.worker).id,
+             cause,
+             flamingotally::nameOf(runPhaseTable, entry.work.runs.get<RunState>(run).phase),
+             (time.now - entry.workers.table.get<WorkerLink>(identity.worker).lastResponseAt).count());
+    endRun(entry, run, RunEnd::LeaseExpired, {}, time);
+}
+
 void countCrash(Entry &entry, TaskRef task, RunNumber number, std::uint32_t weight, const TickTime &time)
 {
     auto &work = entry.work;
@@ -346,18 +361,9 @@
     recordCrash(entry, worker, time);
     const auto runs = entry.workers.table.get<WorkerLoad>(worker).runs;
     for (const auto run : runs) {
-        if (!entry.work.runs.contains(run)) {
-            continue;
+        if (entry.work.runs.contains(run)) {
+            loseRun(entry, run, cause, time);
         }
-        const auto task = entry.work.runs.get<RunIdentity>(run).task;
-        ++entry.counters.lostRuns;
-        logEvent(entry,
-                 EventKind::RunLost,
-                 nameOf(entry, task).job,
-                 "worker={} cause={}",
-                 entry.workers.table.get<WorkerIdentity>(worker).id,
-                 cause);
-        endRun(entry, run, RunEnd::LeaseExpired, {}, time);
     }
 }
 
--- a/src/dispatch/work_func.h
+++ b/src/dispatch/work_func.h
@@ -53,6 +53,12 @@
  */
 void endRun(Entry &entry, RunRef run, RunEnd how, const std::string &checkpoint, const TickTime &time);
 
+/**
+ * Ends a run whose worker does not have it any more and listed no end of it, and logs that.
+ * @param cause Reason, for the log.
+ */
+void loseRun(Entry &entry, RunRef run, std::string_view cause, const TickTime &time);
+
 /**
  * Counts a crash of a worker for a task whose run probably caused it, once for all members of a gang. Fails the job at
  * the maximum, also of endless tasks.
--- a/src/dispatch/worker_base.h
+++ b/src/dispatch/worker_base.h
@@ -61,6 +61,7 @@
     bool hasResponded = false; ///< The worker has responded to a poll of this owner, so it has seen the owner's token.
     bool inFlight = false; ///< A poll is in flight.
     bool hasStrayRuns = false; ///< The last report listed runs that are not in this owner's tables.
+    MonotonicTime cutOffSince{}; ///< Since when reports did not list all ends; zero if the last one did.
     std::uint32_t missedPolls = 0; ///< Consecutive polls without a response.
     std::uint64_t incarnation = 0; ///< Incarnation in the last response; zero before the first one.
     MonotonicTime pollAt{}; ///< Time of the next poll.
--- a/standin/worker_model.cpp
+++ b/standin/worker_model.cpp
@@ -118,7 +118,15 @@
     for (const auto &[task, run] : m_running) {
         response.running.push_back({task, run.run, {}, progressPercent(run, now)});
     }
-    response.ended = m_ended;
+    response.hasMoreEnds = m_ended.size() > m_maxEndsPerReport;
+    const auto n = std::min(m_ended.size(), m_maxEndsPerReport);
+    response.ended.assign(m_ended.begin(), m_ended.begin() + static_cast<std::ptrdiff_t>(n));
+    response.lastEndNumber = response.ended.empty() ? 0 : response.ended.back().number;
+    const auto isGarbled = [this](const auto &row) {
+        return m_garbled.contains({row.task, row.run});
+    };
+    const auto garbled = std::erase_if(response.running, isGarbled) + std::erase_if(response.ended, isGarbled);
+    response.hasMalformedRows = garbled > 0;
     return response;
 }
 
--- a/standin/worker_model.h
+++ b/standin/worker_model.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <utility>
 
 namespace flamingotally::standin
 {
@@ -49,8 +50,8 @@
     WorkerModel(std::string id, Resources capacity, WorkerHooks hooks, Milliseconds bootedAt);
 
     /**
-     * Renews the lease of all runs, drops the acknowledged ends, and returns the running runs and the ended runs that
-     * were not acknowledged. A fenced order has no effect.
+     * Renews the lease of all runs, drops the acknowledged ends, and returns the running runs and the first of the
+     * ended runs that were not acknowledged. A fenced order has no effect.
      */
     dispatch::PollResponse poll(const dispatch::PollOrder &order, Milliseconds now);
 
@@ -94,6 +95,18 @@
         m_id = std::move(id);
     }
 
+    /** Limits the number of ends in the answer to a poll; the first ones are listed. */
+    void setMaxEndsPerReport(std::size_t n)
+    {
+        m_maxEndsPerReport = n;
+    }
+
+    /** Makes the rows about a run in the answers to polls malformed; the number of its end can still be read. */
+    void garbleRowsOf(const dispatch::TaskName &task, dispatch::RunNumber run)
+    {
+        m_garbled.insert({task, run});
+    }
+
     void setCapacity(const Resources &capacity)
     {
         m_capacity = capacity;
@@ -163,6 +176,8 @@
     std::size_t m_crashes = 0;
     std::map<dispatch::TaskName, Running> m_running;
     std::vector<dispatch::EndRow> m_ended;
+    std::size_t m_maxEndsPerReport = 500;
+    std::set<std::pair<dispatch::TaskName, dispatch::RunNumber>> m_garbled; ///< Runs whose rows are malformed.
     /** Highest run number of each task that was stopped or has ended on this worker. */
     std::map<dispatch::TaskName, dispatch::RunNumber> m_highestRuns;
 };
--- a/tests/worker_report_codec_test.cpp
+++ b/tests/worker_report_codec_test.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST_SUITE(WorkerReportCodecTest);
     CPPUNIT_TEST(oddNumberOfAnEndHidesNoLaterEnds);
     CPPUNIT_TEST(oddBirthIsNoRestart);
+    CPPUNIT_TEST(tellsWhetherMoreEndsFollow);
+    CPPUNIT_TEST(knowsTheNumberOfAnEndThatCannotBeRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -58,6 +60,31 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, decode(R"({"clockMs":5})").incarnation);
         CPPUNIT_ASSERT(decode(R"({"clockMs":-5})").result == OrderResult::NoResponse);
     }
+
+    /** A report of 500 ends was taken for a complete one, so that runs whose ends it lacked were taken for lost. */
+    void tellsWhetherMoreEndsFollow()
+    {
+        const auto withEnds = [](int n) {
+            std::string rows;
+            for (int i = 1; i <= n; ++i) {
+                rows += fmt::format(R"({}[{},"{}",1,"done",""])", i == 1 ? "" : ",", i, task);
+            }
+            return decode(fmt::format(R"({{"clockMs":5,"born":7,"running":[],"ended":[{}]}})", rows));
+        };
+        CPPUNIT_ASSERT(!withEnds(0).hasMoreEnds);
+        CPPUNIT_ASSERT(!withEnds(499).hasMoreEnds);
+        CPPUNIT_ASSERT(withEnds(500).hasMoreEnds);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{500}, withEnds(500).lastEndNumber);
+    }
+
+    void knowsTheNumberOfAnEndThatCannotBeRead()
+    {
+        const auto response = decode(fmt::format(
+            R"({{"clockMs":5,"born":7,"ended":[[4,"{0}",1,"done",""],[6,"no task",1,"done",""],[],7,["8"]]}})", task));
+        CPPUNIT_ASSERT(response.hasMalformedRows);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, response.ended.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, response.lastEndNumber);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkerReportCodecTest);
