Forget daemons that are gone

Callers waited longer for work to go on after each loss of an owner, the more daemons had ever been removed, and steps waited for tickets.

--- a/src/dispatch/codec/journal_codec.cpp
+++ b/src/dispatch/codec/journal_codec.cpp
@@ -29,6 +29,7 @@
     {JournalKind::Daemon, "d"},
     {JournalKind::Heartbeat, "b"},
     {JournalKind::Removed, "f"},
+    {JournalKind::RemovedDaemon, "g"},
 }};
 static_assert(isComplete(journalKindTable));
 
@@ -44,6 +45,12 @@
     return fmt::format("{}.{}", keyOf(JournalKind::Progress, job), occurrence);
 }
 
+/** Returns the key of a daemon's record. */
+std::string daemonKey(const std::string &name)
+{
+    return std::string(nameOf(journalKindTable, JournalKind::Daemon)) + name;
+}
+
 /** Returns the key of a record. */
 struct KeyWriter {
     std::string operator()(const AcceptedRecord &it) const
@@ -68,7 +75,7 @@
 
     std::string operator()(const DaemonRecord &it) const
     {
-        return std::string(nameOf(journalKindTable, JournalKind::Daemon)) + it.name;
+        return daemonKey(it.name);
     }
 
     std::string operator()(const HeartbeatRecord & /*it*/) const
@@ -80,6 +87,11 @@
     {
         return keyOf(JournalKind::Removed, it.job);
     }
+
+    std::string operator()(const RemovedDaemonRecord &it) const
+    {
+        return daemonKey(it.name);
+    }
 };
 
 /** Returns rows with empty values for all keys of a job, which remove these keys. */
@@ -166,6 +178,9 @@
     if (const auto *removed = std::get_if<RemovedRecord>(&record)) {
         return removalRows(*removed);
     }
+    if (const auto *removed = std::get_if<RemovedDaemonRecord>(&record)) {
+        return {{daemonKey(removed->name), {}}};
+    }
     return {{std::visit(KeyWriter{}, record), std::visit(ValueWriter{}, record)}};
 }
 
--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -90,6 +90,13 @@
     End,
 };
 
+/** A daemon, as the journal shows it. */
+struct KnownDaemon {
+    DaemonRecord record;
+    MonotonicTime seenAt{}; ///< When its record was last read.
+    bool isAlive = true; ///< It has written its record within the time that daemonListSystem() allows.
+};
+
 /** Ownership of the cell: which daemon decides. */
 struct Ownership {
     OwnerPhase phase = OwnerPhase::Follower;
@@ -115,7 +122,8 @@
     Milliseconds tickDelay{0}; ///< Smoothed delay of ticks behind the time at which they had to run.
     /** Since when ticks of this owner have been delayed so much that it cannot keep up; zero while it can. */
     MonotonicTime overloadedSince{};
-    std::map<std::string, DaemonRecord> daemons; ///< By name.
+    std::map<std::string, KnownDaemon> daemons; ///< By name, also those that are not alive.
+    std::size_t daemonsAlive = 0; ///< Number of daemons that are alive.
 };
 
 /** A record that waits to be written, and the call that waits for it. */
@@ -333,7 +341,7 @@
     MonotonicTime dueTickAt{}; ///< When the current tick had to run at the latest.
     MonotonicTime nextWake{}; ///< The next tick must run no later than this; each tick sets it anew.
     MonotonicTime nextRetentionScanAt{}; ///< Next search for jobs whose retention period has passed.
-    bool ownRecordQueued = false; ///< The daemon has queued its own DaemonRecord since its start.
+    MonotonicTime ownRecordDueAt{}; ///< When the daemon writes its own DaemonRecord next; zero at its start.
 
     Writer &writer(JournalWriter which)
     {
--- a/src/dispatch/journal_type.h
+++ b/src/dispatch/journal_type.h
@@ -24,6 +24,7 @@
     Daemon,
     Heartbeat,
     Removed,
+    RemovedDaemon,
     End,
 };
 
@@ -87,7 +88,10 @@
     }
 };
 
-/** A daemon and its address for peers. Each daemon writes its own record when it starts and when it loses ownership. */
+/**
+ * A daemon and its address for peers. Each daemon writes its own record when it starts, when it loses ownership, and at
+ * intervals: one that has written none for long is gone.
+ */
 struct DaemonRecord {
     std::string name;
     std::uint64_t incarnation = 0;
@@ -128,9 +132,26 @@
     }
 };
 
+/** Removes the key of a daemon that is gone. Like RemovedRecord, it is never read back. */
+struct RemovedDaemonRecord {
+    std::string name;
+
+    template<typename Visitor>
+    void fields(Visitor &&visitor)
+    {
+        visitor(name);
+    }
+};
+
 /** A record of any kind, in the order of JournalKind. */
-using JournalRecord = std::
-    variant<AcceptedRecord, CancelledRecord, ProgressRecord, ClaimRecord, DaemonRecord, HeartbeatRecord, RemovedRecord>;
+using JournalRecord = std::variant<AcceptedRecord,
+                                   CancelledRecord,
+                                   ProgressRecord,
+                                   ClaimRecord,
+                                   DaemonRecord,
+                                   HeartbeatRecord,
+                                   RemovedRecord,
+                                   RemovedDaemonRecord>;
 
 /** A record with its offset, as read from the journal. */
 struct JournalEntry {
--- a/src/dispatch/systems/advice.cpp
+++ b/src/dispatch/systems/advice.cpp
@@ -58,12 +58,19 @@
     return relay.pendingMs + (relay.lastSucceeded ? 0 : unverifiedPenaltyMs);
 }
 
-/** Adds a relay for each daemon that has none yet. */
-void addRelays(Entry &entry)
+/** Adds a relay for each daemon that is alive and has none yet, and removes those of daemons that are not alive. */
+void updateRelays(Entry &entry)
 {
-    for (const auto &[name, record] : entry.ownership.daemons) {
-        entry.advice.relays.try_emplace(name);
+    const auto &daemons = entry.ownership.daemons;
+    for (const auto &[name, daemon] : daemons) {
+        if (daemon.isAlive) {
+            entry.advice.relays.try_emplace(name);
+        }
     }
+    std::erase_if(entry.advice.relays, [&](const auto &it) {
+        const auto daemon = daemons.find(it.first);
+        return (daemon == daemons.end() || !daemon->second.isAlive) && it.second.requestsInFlight == 0;
+    });
 }
 
 /** Finds the relay that is expected to respond first; null when none can send the request now. */
@@ -194,7 +201,7 @@
     AdviceRequest request;
     request.number = entry.advice.nextNumber++;
     const bool isOwn = relay->first == entry.settings.name;
-    request.relay = isOwn ? std::string() : entry.ownership.daemons[relay->first].peerAddress;
+    request.relay = isOwn ? std::string() : entry.ownership.daemons[relay->first].record.peerAddress;
     request.step = nameOf(entry, entry.work.groups.get<GroupState>(group).tasks.front());
     request.workers = idsOf(entry, workers.all);
     request.timeout = Milliseconds(static_cast<std::int64_t>(costMs + relay->second.pendingMs)) + responseSlack;
@@ -334,7 +341,7 @@
 {
     if (!entry.advice.renewals.empty() || !entry.advice.needed.empty() || !entry.advice.prefetch.empty()
         || !entry.advice.backlog.empty()) {
-        addRelays(entry);
+        updateRelays(entry);
     }
     std::erase_if(entry.advice.renewals, [&](GroupRef group) {
         if (!entry.work.groups.contains(group)) {
--- a/src/dispatch/systems/ownership.cpp
+++ b/src/dispatch/systems/ownership.cpp
@@ -63,8 +63,8 @@
 {
     const auto own = claimKey(ownRecord(entry), token);
     std::size_t rank = 0;
-    for (const auto &[name, record] : entry.ownership.daemons) {
-        rank += claimKey(record, token) < own ? 1 : 0;
+    for (const auto &[name, it] : entry.ownership.daemons) {
+        rank += it.isAlive && claimKey(it.record, token) < own ? 1 : 0;
     }
     return rank;
 }
@@ -74,7 +74,7 @@
 {
     const auto own = processorMilli(entry.settings);
     return own > 0 && std::ranges::any_of(entry.ownership.daemons, [own](const auto &it) {
-               return it.second.processorMilli >= largerFactor * own;
+               return it.second.isAlive && it.second.record.processorMilli >= largerFactor * own;
            });
 }
 
@@ -86,7 +86,7 @@
         return true;
     }
     const auto it = entry.ownership.daemons.find(newest.owner);
-    return it != entry.ownership.daemons.end() && it->second.incarnation > newest.incarnation;
+    return it != entry.ownership.daemons.end() && it->second.record.incarnation > newest.incarnation;
 }
 
 /** Returns true if this daemon, which has lost or released ownership, still leaves the next claim to others. */
@@ -195,7 +195,7 @@
     auto &ownership = entry.ownership;
     const auto since = std::max(ownership.overloadedSince, ownership.claimedAt);
     if (ownership.overloadedSince == MonotonicTime{} || time.now - since < overloadPeriod
-        || ownership.daemons.size() < 2) {
+        || ownership.daemonsAlive < 2) {
         return false;
     }
     logEvent(entry,
@@ -232,7 +232,7 @@
         ownership.freshViewsAt = time.now;
         return false;
     }
-    if (!storesBatches || ownership.daemons.size() < 2 || !mayReleaseStale(entry, time)) {
+    if (!storesBatches || ownership.daemonsAlive < 2 || !mayReleaseStale(entry, time)) {
         return false;
     }
     logEvent(entry,
@@ -267,10 +267,6 @@
     if (entry.phase == EntryPhase::CatchingUp && isReady) {
         entry.phase = EntryPhase::Serving;
     }
-    if (!entry.ownRecordQueued && entry.journal.loaded) {
-        entry.ownRecordQueued = true;
-        queueRecord(entry, JournalWriter::Entry, ownRecord(entry));
-    }
     auto &ownership = entry.ownership;
     measureTickDelay(entry, time);
     switch (ownership.phase) {
--- a/src/dispatch/systems/read_journal.cpp
+++ b/src/dispatch/systems/read_journal.cpp
@@ -101,8 +101,8 @@
     void operator()(const DaemonRecord &record)
     {
         auto &known = m_entry.ownership.daemons[record.name];
-        if (record.incarnation >= known.incarnation) {
-            known = record;
+        if (record.incarnation >= known.record.incarnation) {
+            known = {record, m_time.now, true};
         }
         if (m_entry.isOwner()) {
             updatePreviousOwner();
@@ -120,7 +120,8 @@
         const auto it = ownership.daemons.find(previous.owner);
         const bool hasStopped = previous.owner.empty()
             || (it != ownership.daemons.end()
-                && (it->second.incarnation > previous.incarnation || it->second.resigned >= previous.token));
+                && (it->second.record.incarnation > previous.incarnation
+                    || it->second.record.resigned >= previous.token));
         if (!hasStopped || ownership.previousOwnerStoppedAt != MonotonicTime{}) {
             return;
         }
@@ -142,6 +143,10 @@
     {
     }
 
+    void operator()(const RemovedDaemonRecord & /*record*/)
+    {
+    }
+
     /** Returns true if the record is this daemon's own claim, so that the daemon becomes the owner. */
     bool becomesOwner() const
     {
--- a/src/dispatch/systems/systems.h
+++ b/src/dispatch/systems/systems.h
@@ -18,6 +18,9 @@
 /** Applies the store's responses to batches of journal records. */
 void appendResponseSystem(Entry &entry, const TickTime &time);
 
+/** Writes this daemon's own record at intervals, and finds the daemons that are gone: they no longer write theirs. */
+void daemonListSystem(Entry &entry, const TickTime &time);
+
 /** Claims ownership when there is no owner; as owner, writes heartbeats and releases ownership to larger hosts. */
 void ownershipSystem(Entry &entry, const TickTime &time);
 
--- a/src/dispatch/systems/tick.cpp
+++ b/src/dispatch/systems/tick.cpp
@@ -35,6 +35,7 @@
     configSystem(entry, time);
     readJournalSystem(entry, time);
     appendResponseSystem(entry, time);
+    daemonListSystem(entry, time);
     ownershipSystem(entry, time);
     workerListSystem(entry, time);
     orderResponseSystem(entry, time);
--- a/src/dispatch/work_step.cpp
+++ b/src/dispatch/work_step.cpp
@@ -28,7 +28,7 @@
         return;
     }
     if (work.deferred.empty()) {
-        const auto daemons = static_cast<std::int64_t>(entry.ownership.daemons.size());
+        const auto daemons = static_cast<std::int64_t>(entry.ownership.daemonsAlive);
         work.deferredUntil = time.now + std::min(delayPerDaemon * daemons, longestDelay);
     }
     state.deferred = true;
--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -239,8 +239,10 @@
         AdviceResponse response;
         response.number = request.number;
         const bool isTooLong = request.workers.size() > maxAdviceWorkers;
-        response.failed = m_world.requestsToFail > 0 || isTooLong;
-        m_world.requestsToFail -= response.failed && !isTooLong ? 1 : 0;
+        const bool isRelayDead = !request.relay.empty() && !m_world.isAlive(request.relay);
+        m_world.requestsToDeadRelays += isRelayDead ? 1 : 0;
+        response.failed = m_world.requestsToFail > 0 || isTooLong || isRelayDead;
+        m_world.requestsToFail -= m_world.requestsToFail > 0 && !isTooLong ? 1 : 0;
         response.sentAt = now();
         const auto refused = m_world.refusedByJob.find(request.step.job);
         for (const auto &it : request.workers) {
@@ -251,7 +253,8 @@
         }
         m_world.adviceRequestedAt.try_emplace({request.step.job, request.step.step}, m_world.m_queue.now());
         const auto it = m_world.adviceTimes.find(request.step.job);
-        deliverLater(it == m_world.adviceTimes.end() ? defaultAdviceTime : it->second,
+        const auto time = it == m_world.adviceTimes.end() ? defaultAdviceTime : it->second;
+        deliverLater(isRelayDead ? request.timeout : time,
                      [response](Inbox &inbox) { inbox.adviceResponses.push_back(response); });
     }
 
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -104,6 +104,7 @@
     auto &it = *m_daemons[daemon];
     it.entry = Entry{};
     it.entry.settings.name = fmt::format("d{}", daemon);
+    it.entry.settings.peerAddress = it.entry.settings.name;
     it.entry.incarnation = static_cast<std::uint64_t>((m_queue.now() + incarnationOffset).count());
     it.alive = true;
     it.isWatchingWorkers = false;
@@ -112,6 +113,11 @@
     wake(daemon);
 }
 
+bool DispatchWorld::isAlive(const std::string &name) const
+{
+    return std::ranges::any_of(m_daemons, [&](const auto &it) { return it->alive && it->entry.settings.name == name; });
+}
+
 void DispatchWorld::kill(std::size_t daemon)
 {
     m_daemons[daemon]->alive = false;
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -81,6 +81,9 @@
     /** Returns the index of the daemon that owns the cell; unset if no daemon or more than one does. */
     std::optional<std::size_t> owner() const;
 
+    /** Returns false if a daemon with a name, which is also its address for peers, is not alive. */
+    bool isAlive(const std::string &name) const;
+
     /** Stops a daemon immediately; its state is lost. */
     void kill(std::size_t daemon);
     /** Starts a daemon anew, with empty state. */
@@ -165,6 +168,7 @@
     /** Response time of the policy service, by job; 20 ms for jobs that are not in the map. */
     std::map<dispatch::JobId, Milliseconds> adviceTimes;
     std::set<std::size_t> daemonsWithError; ///< The next read of the journal by such a daemon throws, once.
+    std::size_t requestsToDeadRelays = 0; ///< Requests to the policy service that were sent through a dead daemon.
     std::size_t requestsToFail = 0; ///< This many of the next requests to the policy service fail.
     /** Time of the first request to the policy service, by job and step. */
     std::map<std::pair<dispatch::JobId, std::uint32_t>, Milliseconds> adviceRequestedAt;
