Acknowledge ends only to the incarnation that listed them

Callers saw a task run again after it was done (TWICE), after a worker had restarted under its id.

Cause: a new incarnation numbers its ends from 1 and drops those up to the acknowledged number. The owner learnt of the new incarnation only from the answer to the poll that carried the old number, so ends that were not listed yet were lost.

Now an acknowledgement is sent only on the connection on which its incarnation has answered: a process ends with its connections. If that one is closed, the poll is not sent, and the next one acknowledges nothing.

DispatchReportTest::newIncarnationLosesNoEndsToTheAcknowledgementsOfTheOldOne fails with the number sent regardless; HttpConnectionTest:: sendsACallForOneConnectionOnNoOther covers the client.

--- a/src/dispatch/message_type.h
+++ b/src/dispatch/message_type.h
@@ -68,6 +68,11 @@
     Token token = 0; ///< Fencing token of the owner.
     WorkerTime leaseUntil{}; ///< New lease expiry by the worker's clock; zero for no renewal.
     std::uint64_t acknowledged = 0; ///< Run ends up to this sequence number are stored in the journal.
+    /**
+     * If not zero: the connection on which the incarnation was seen whose run ends are acknowledged. The order is sent
+     * on it or not at all, as another incarnation would take the number for one of its own run ends.
+     */
+    std::uint64_t connection = 0;
     Milliseconds wait{0}; ///< How long the worker may wait for a run to end before it responds.
     Milliseconds timeout{0}; ///< How long to wait for the response.
 };
@@ -84,6 +89,7 @@
     Unhealthy, ///< The worker reports itself unhealthy and has not executed the order.
     WorkerReplaced, ///< Another worker responds at the address.
     NeverSent, ///< The order did not leave this host.
+    ConnectionClosed, ///< The order was not sent, as PollOrder::connection is closed.
     NoResponse, ///< The order may be executed now, later or never.
     End,
 };
@@ -95,6 +101,7 @@
     OrderResult result = OrderResult::NoResponse;
     WorkerTime clock{}; ///< Reading of the worker's clock when it responded.
     std::uint64_t incarnation = 0; ///< Changes when the worker restarts.
+    std::uint64_t connection = 0; ///< Connection on which the response arrived.
     std::vector<RunningRow> running;
     std::vector<EndRow> ended;
     bool hasMalformedRows = false; ///< The report had rows that were skipped.
--- a/src/dispatch/systems/poll.cpp
+++ b/src/dispatch/systems/poll.cpp
@@ -48,7 +48,10 @@
     const bool isTrusted = link.missedPolls == 0 || mayStillReport(entry, worker, time);
     const bool isRenewal = link.hasResponded && !load.runs.empty() && isTrusted && isCertainOwner(entry, time);
     order.leaseUntil = isRenewal ? leaseForNextOrder(entry, worker, time) : WorkerTime{};
-    order.acknowledged = link.lastEndStored;
+    // an incarnation that has shown no run ends yet would drop those that it has under the acknowledged numbers
+    order.connection = link.connection;
+    order.acknowledged = link.connection != 0 ? link.lastEndStored : 0;
+    link.lastEndAcknowledged = order.acknowledged;
     const bool mayWait = link.hasResponded && link.missedPolls == 0 && !load.runs.empty();
     order.wait = mayWait ? pollWait(entry, time) : Milliseconds{0};
     order.timeout = order.wait + orderTimeout(entry.workers.pacing, pollMargin);
@@ -102,7 +105,6 @@
             entry.wakeBy(dueAt);
             return;
         }
-        link.lastEndAcknowledged = link.lastEndStored;
         sendPoll(entry, worker, time);
     });
 }
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -344,6 +344,10 @@
 void handleMissedPoll(Entry &entry, const PollResponse &response, const TickTime &time)
 {
     auto &link = entry.workers.table.get<WorkerLink>(response.worker);
+    link.connection = 0;
+    if (response.result == OrderResult::ConnectionClosed) {
+        return; // the next poll may open a connection
+    }
     const auto &identity = entry.workers.table.get<WorkerIdentity>(response.worker);
     if (response.result == OrderResult::WorkerReplaced) {
         endAllRuns(entry, response.worker, "address taken by another worker", time);
@@ -396,6 +400,7 @@
     link.missedPolls = 0;
     link.lostSuspects.clear();
     link.hasResponded = true;
+    link.connection = response.connection;
     link.lastResponseAt = time.now;
     link.clock = response.clock;
     link.clockReadAt = response.receivedAt;
--- a/src/dispatch/table/dispatch_table.h
+++ b/src/dispatch/table/dispatch_table.h
@@ -46,6 +46,7 @@
     {OrderResult::Unhealthy, "unhealthy"},
     {OrderResult::WorkerReplaced, "gone"},
     {OrderResult::NeverSent, "never_sent"},
+    {OrderResult::ConnectionClosed, "connection_closed"},
     {OrderResult::NoResponse, "no_answer"},
 }};
 static_assert(isComplete(orderResultTable));
--- a/src/dispatch/worker_base.h
+++ b/src/dispatch/worker_base.h
@@ -64,6 +64,8 @@
     MonotonicTime cutOffSince{}; ///< Since when reports did not list all ends; zero if the last one did.
     std::uint32_t missedPolls = 0; ///< Consecutive polls without a response.
     std::uint64_t incarnation = 0; ///< Incarnation in the last response; zero before the first one.
+    /** Connection of the last response; zero if the next poll may reach another incarnation than that response. */
+    std::uint64_t connection = 0;
     MonotonicTime pollAt{}; ///< Time of the next poll.
     MonotonicTime lastResponseAt{}; ///< When the last response to a poll was applied.
     MonotonicTime clockReadAt{}; ///< When `clock` was received; zero before.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -169,7 +169,9 @@
     bool keepAlive = false;
     auto &traffic = state.traffic[static_cast<std::size_t>(call.step)];
     auto result = co_await exchangeMessages(stream, call, message, traffic, keepAlive);
-    if (!result.ok()) {
+    if (result.ok()) {
+        result->connection = state.connections->table.get<ConnectionNumber>(ref);
+    } else {
         closeIdleConnections(*state.connections, destination);
     }
     if (keepAlive) {
--- a/src/net/http_connections.cpp
+++ b/src/net/http_connections.cpp
@@ -65,6 +65,27 @@
     return {};
 }
 
+/** Removes the connection with a number from the idle ones; unset if it is in use, closed or unusable. */
+ConnectionRef takeIdle(HttpConnections &connections, DestinationState &state, ConnectionNumber number)
+{
+    const auto hasNumber = [&](const IdleConnection &it) {
+        return connections.table.get<ConnectionNumber>(it.ref) == number;
+    };
+    const auto it = std::ranges::find_if(state.idle, hasNumber);
+    if (it == state.idle.end()) {
+        return {};
+    }
+    const auto ref = it->ref;
+    connections.idleByAge.erase(it->number);
+    state.idle.erase(it);
+    if (isUsable(*connections.table.get<ConnectionPtr>(ref))) {
+        return ref;
+    }
+    connections.table.erase(ref);
+    --state.open;
+    return {};
+}
+
 /** Assigns a connection to the call that has waited for longest. @param ref Unset if the call has to open it. */
 void assignToNext(DestinationState &state, ConnectionRef ref)
 {
@@ -183,6 +204,14 @@
 {
     const Destination destination{call.address, call.channel};
     auto &state = connections->byDestination[destination];
+    if (call.connection != 0) {
+        if (const auto ref = takeIdle(*connections, state, call.connection); ref.isSet()) {
+            co_return AssignedConnection{ref};
+        }
+        forgetIfUnused(*connections, destination);
+        co_await asio::post(connections->io, asio::use_awaitable);
+        co_return makeError(absl::StatusCode::kAborted, call.step, call.address, "connection closed before the call");
+    }
     if (!state.waiting.empty()) {
         co_return co_await awaitTurn(connections, call, deadline);
     }
@@ -203,7 +232,7 @@
 
 ConnectionRef addConnection(HttpConnections &connections)
 {
-    return connections.table.insert(std::make_unique<beast::tcp_stream>(connections.io));
+    return connections.table.insert(std::make_unique<beast::tcp_stream>(connections.io), ++connections.opened);
 }
 
 void releaseConnection(const ConnectionsPtr &connections, const Destination &destination, ConnectionRef ref)
--- a/src/net/http_connections.h
+++ b/src/net/http_connections.h
@@ -31,7 +31,9 @@
 
 /** A connection to another process, in use or idle. */
 using ConnectionPtr = std::unique_ptr<beast::tcp_stream>;
-using ConnectionTable = Table<ConnectionTag, ConnectionPtr>;
+/** Number of a connection, which no other connection of the client has had. */
+using ConnectionNumber = std::uint64_t;
+using ConnectionTable = Table<ConnectionTag, ConnectionPtr, ConnectionNumber>;
 using ConnectionRef = ConnectionTable::RowRef;
 
 /** An address and a channel: the calls of one destination share connections. */
@@ -92,6 +94,7 @@
     asio::io_context &io;
     HttpClientSettings settings;
     ConnectionTable table;
+    ConnectionNumber opened = 0; ///< Connections opened so far.
     absl::flat_hash_map<Destination, DestinationState> byDestination; ///< Those with connections or waiting calls.
     std::map<std::uint64_t, IdleSince> idleByAge; ///< By IdleConnection::number.
     std::uint64_t releases = 0; ///< Connections released so far.
--- a/src/net/http_type.h
+++ b/src/net/http_type.h
@@ -54,6 +54,7 @@
     std::string contentType = "application/json";
     std::vector<HttpField> fields{}; ///< Further header fields.
     std::string body{};
+    std::uint64_t connection = 0; ///< Of a received response: number of the connection on which it arrived.
 };
 
 /**
@@ -80,6 +81,11 @@
 struct HttpCall {
     std::string address{}; ///< "IP:port".
     HttpChannel channel = HttpChannel::General;
+    /**
+     * If not zero, the call is sent on the connection with this number or not at all: a process on the other side that
+     * has restarted meanwhile does not get it.
+     */
+    std::uint64_t connection = 0;
     HttpMethod method = HttpMethod::Get;
     std::string target{}; ///< Path and query, encoded.
     std::vector<HttpField> fields{}; ///< Header fields.
@@ -94,18 +100,25 @@
 };
 
 /**
- * Result of a call: a response of any status, or an error with step and peer. kUnavailable means that nothing was sent;
- * with any other code the other side may have processed the request.
+ * Result of a call: a response of any status, or an error with step and peer. kUnavailable means that nothing was sent,
+ * and so does kAborted, of a call that had to be sent on a connection that is closed. With any other code the other
+ * side may have processed the request.
  */
 using HttpResult = absl::StatusOr<HttpResponse>;
 
 /** Called once with the result of a call. */
 using HttpCallback = std::function<void(HttpResult)>;
 
+/** Returns whether a failed call was not sent because the connection on which it had to be sent was closed before. */
+inline bool wasConnectionClosed(const absl::Status &status)
+{
+    return status.code() == absl::StatusCode::kAborted;
+}
+
 /** Returns whether a failed call certainly did not reach the other side. */
 inline bool wasNeverSent(const absl::Status &status)
 {
-    return status.code() == absl::StatusCode::kUnavailable;
+    return status.code() == absl::StatusCode::kUnavailable || wasConnectionClosed(status);
 }
 
 } // namespace flamingotally
--- a/standin/worker_model.cpp
+++ b/standin/worker_model.cpp
@@ -107,7 +107,7 @@
         return response;
     }
     response.clock = clock(now);
-    response.incarnation = static_cast<std::uint64_t>(m_bootedAt.count()) + 1;
+    response.incarnation = incarnation();
     if (!acceptToken(order.token)) {
         response.result = OrderResult::Fenced;
         return response;
--- a/standin/worker_model.h
+++ b/standin/worker_model.h
@@ -83,6 +83,12 @@
         return now < m_bootedAt;
     }
 
+    /** Returns the incarnation that the answers to polls name. */
+    std::uint64_t incarnation() const
+    {
+        return static_cast<std::uint64_t>(m_bootedAt.count()) + 1;
+    }
+
     /** Returns how often a run has crashed the worker. */
     std::size_t crashes() const
     {
--- a/tests/dispatch_report_test.cpp
+++ b/tests/dispatch_report_test.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(startsARunThatNeverArrivedOnceAllEndsWereListed);
     CPPUNIT_TEST(stopsARunWhoseRowCannotBeReadBeforeTheNextOne);
     CPPUNIT_TEST(endThatCannotBeReadHoldsNoOtherBack);
+    CPPUNIT_TEST(newIncarnationLosesNoEndsToTheAcknowledgementsOfTheOldOne);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -166,6 +167,30 @@
         CPPUNIT_ASSERT(!world.worker(0).hasUnacknowledgedEnds());
         assertNoViolations(world);
     }
+
+    /**
+     * The new incarnation of a worker that had restarted under its id got the acknowledgement of the old one, and
+     * dropped an end that it had not listed yet, so that its task was started again.
+     */
+    void newIncarnationLosesNoEndsToTheAcknowledgementsOfTheOldOne()
+    {
+        DispatchWorld world(2, 1);
+        world.run(settleTime);
+        world.submit(0, 1, jobOf({plainStep(tasks)}));
+        world.run(startTime + workTime);
+        CPPUNIT_ASSERT(!world.worker(0).hasUnacknowledgedEnds());
+        world.scripts[{2, 0, 0, 0}] = {{Milliseconds{50}, RunEnd::Done}};
+        world.linkModes[0] = LinkMode::Cut;
+        world.submit(0, 2, jobOf({plainStep(1)}));
+        world.run(startTime);
+        world.restartWorker(0);
+        world.run(startTime);
+        world.linkModes[0] = LinkMode::Up;
+        world.run(catchUpTime);
+        CPPUNIT_ASSERT(world.phaseAt(0, 2) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.startsOf({2, 0, 0, 0}));
+        assertNoViolations(world);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchReportTest);
--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -147,6 +147,12 @@
                          [lost = lostResponse(order, sentAt)](Inbox &inbox) { inbox.pollResponses.push_back(lost); });
             return;
         }
+        if (order.connection != 0 && order.connection != m_world.worker(n).incarnation()) {
+            auto closed = lostResponse(order, sentAt);
+            closed.result = OrderResult::ConnectionClosed;
+            deliverLater(Milliseconds{0}, [closed](Inbox &inbox) { inbox.pollResponses.push_back(closed); });
+            return;
+        }
         if (const auto delay = linkDelay(pollBytes); delay > Milliseconds{0}) {
             m_world.m_queue.after(delay,
                                   [ports = *this, order, sentAt]() mutable { ports.executePoll(order, sentAt); });
@@ -338,6 +344,7 @@
                 return;
             }
             auto response = world->executeOn(n, order);
+            response.connection = response.incarnation; // a connection lasts as long as the incarnation
             response.sentAt = sentAt;
             response.receivedAt = MonotonicTime{world->m_queue.now() + messageDelay};
             world->deliver(daemon, incarnation, messageDelay, [response](Inbox &inbox) {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(replacesAConnectionWhoseCallGotNoResponse);
     CPPUNIT_TEST(closesConnectionsThatStayIdle);
     CPPUNIT_TEST(closeEndsWaitingCalls);
+    CPPUNIT_TEST(sendsACallForOneConnectionOnNoOther);
     CPPUNIT_TEST(closeWithoutResponseMeansUnknownOutcome);
     CPPUNIT_TEST(unresponsiveServerTimesOut);
     CPPUNIT_TEST(closedIdleConnectionIsNotReused);
@@ -239,6 +240,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_requests.size());
     }
 
+    /** The process on the other side may have restarted since, and take what is meant for its predecessor for its own.
+     */
+    void sendsACallForOneConnectionOnNoOther()
+    {
+        startServer();
+        const auto first = call({.channel = HttpChannel::Polls, .target = "/"});
+        CPPUNIT_ASSERT(first.ok() && first->connection != 0);
+        const auto again = call({.channel = HttpChannel::Polls, .connection = first->connection, .target = "/"});
+        CPPUNIT_ASSERT(again.ok());
+        CPPUNIT_ASSERT_EQUAL(first->connection, again->connection);
+        m_client = std::make_unique<HttpClient>(*m_io, HttpClientSettings{.idleTimeout = Milliseconds{5}});
+        const auto other = call({.channel = HttpChannel::Polls, .target = "/"});
+        runUntil(*m_io, [this] { return m_server->connectionCount() == 0; });
+        const auto late = call({.channel = HttpChannel::Polls, .connection = other->connection, .target = "/"});
+        CPPUNIT_ASSERT(wasConnectionClosed(late.status()));
+        CPPUNIT_ASSERT(wasNeverSent(late.status()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_requests.size());
+        CPPUNIT_ASSERT(call({.channel = HttpChannel::Polls, .target = "/"}).ok());
+    }
+
     void closeWithoutResponseMeansUnknownOutcome()
     {
         startServer();
