--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -4,10 +4,9 @@
 #include "net/clock.h"
 #include "net/endpoint.h"
 #include "net/http_connections.h"
-#include "table/http_table.h"
+#include "net/http_message.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/beast/http.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -15,42 +14,9 @@
 namespace flamingotally
 {
 
-namespace http = beast::http;
-
 namespace
 {
 
-http::request<http::string_body> toMessage(HttpCall &call)
-{
-    const auto name = rowOf(httpMethodTable, call.method).name;
-    http::request<http::string_body> message;
-    message.version(11);
-    message.method_string({name.data(), name.size()});
-    message.target(call.target);
-    message.set(http::field::host, call.address);
-    for (const auto &field : call.fields) {
-        message.set(field.name, field.value);
-    }
-    if (!call.body.empty()) {
-        message.set(http::field::content_type, call.contentType);
-    }
-    message.body() = std::move(call.body);
-    message.prepare_payload();
-    return message;
-}
-
-HttpResponse toResponse(http::response<http::string_body> message)
-{
-    HttpResponse response;
-    response.status = message.result_int();
-    response.contentType = std::string(message[http::field::content_type]);
-    for (const auto &it : message) {
-        response.fields.push_back({std::string(it.name_string()), std::string(it.value())});
-    }
-    response.body = std::move(message.body());
-    return response;
-}
-
 absl::Status callError(absl::StatusCode code, const HttpCall &call, std::string_view text)
 {
     return makeError(code, call.step, call.address, text);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -5,12 +5,9 @@
 #include "net/coroutine.h"
 #include "net/endpoint.h"
 #include "net/http_error.h"
-#include "net/http_target.h"
-#include "table/http_table.h"
+#include "net/http_message.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http.hpp>
-
 #include <fmt/format.h>
 
 #include <optional>
@@ -19,8 +16,6 @@
 namespace flamingotally
 {
 
-namespace http = beast::http;
-
 namespace
 {
 
@@ -28,7 +23,6 @@
 constexpr std::size_t maxLingerBytes = 1024 * 1024; ///< Limit of unread data that closeLingering() discards.
 constexpr Milliseconds lingerTimeout{1'000}; ///< Time limit of closeLingering().
 constexpr Milliseconds acceptBackoff{100}; ///< Pause after a failed accept.
-constexpr std::string_view bearerPrefix = "Bearer ";
 
 using RequestParser = http::request_parser<http::string_body>;
 
@@ -62,12 +56,6 @@
 using ConnectionTable = Table<ConnectionTag, std::unique_ptr<Connection>>;
 using ConnectionRef = ConnectionTable::RowRef;
 
-HttpMethod methodOf(http::verb verb)
-{
-    const auto name = http::to_string(verb);
-    return valueFromName(httpMethodTable, {name.data(), name.size()}).value_or(HttpMethod::Other);
-}
-
 /** Makes the error for a request that could not be read completely. */
 HttpError receiveError(const error_code &ec, bool isTimedOut)
 {
@@ -88,42 +76,6 @@
         || ec == asio::error::operation_aborted || ec == asio::error::broken_pipe;
 }
 
-/** Converts a parsed message into a request; nullopt if its target is malformed. */
-std::optional<HttpRequest> toRequest(http::request<http::string_body> message)
-{
-    HttpRequest request;
-    request.method = methodOf(message.method());
-    if (!decodeTarget({message.target().data(), message.target().size()}, request)) {
-        return std::nullopt;
-    }
-    for (const auto &it : message) {
-        request.fields.push_back({std::string(it.name_string()), std::string(it.value())});
-    }
-    if (const auto value = fieldValue(request.fields, "Authorization"); value.starts_with(bearerPrefix)) {
-        request.bearer = value.substr(bearerPrefix.size());
-    }
-    request.idempotencyKey = fieldValue(request.fields, "Idempotency-Key");
-    request.body = std::move(message.body());
-    return request;
-}
-
-http::response<http::string_body> toMessage(HttpResponse response, unsigned version, bool keepAlive)
-{
-    http::response<http::string_body> message;
-    message.version(version);
-    message.result(response.status);
-    if (!response.body.empty()) {
-        message.set(http::field::content_type, response.contentType);
-    }
-    for (const auto &[name, value] : response.fields) {
-        message.set(name, value);
-    }
-    message.keep_alive(keepAlive);
-    message.body() = std::move(response.body);
-    message.prepare_payload();
-    return message;
-}
-
 /**
  * Closes a connection after reading and discarding the rest of its data. Closing with unread data would make the kernel
  * reset the connection, and the client could not read the last response.
--- a/tests/net_fixture.h
+++ b/tests/net_fixture.h
@@ -10,9 +10,14 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/TestAssert.h>
+#include <cppunit/TestFixture.h>
+#include <fmt/format.h>
 
+#include <memory>
 #include <optional>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace flamingotally
 {
@@ -77,4 +82,61 @@
     boost::asio::ip::tcp::socket m_socket;
 };
 
+/** A server that records its requests, and a client, on one io_context. */
+class HttpFixture : public CppUnit::TestFixture
+{
+public:
+    void setUp() override
+    {
+        ioContext = std::make_unique<boost::asio::io_context>(1);
+        httpClient = std::make_unique<HttpClient>(*ioContext);
+        requests.clear();
+        responders.clear();
+        respondsAtOnce = true;
+    }
+
+    void tearDown() override
+    {
+        responders.clear();
+        httpClient.reset();
+        httpServer.reset();
+        ioContext.reset();
+    }
+
+protected:
+    /** Starts a server that records the requests and responds at once, unless `respondsAtOnce` is false. */
+    void startServer(HttpServerSettings settings = {})
+    {
+        httpServer =
+            std::make_unique<HttpServer>(*ioContext, settings, [this](HttpRequest request, HttpResponder responder) {
+                if (respondsAtOnce) {
+                    responder({.contentType = "text/plain", .body = fmt::format("answer {}", requests.size())});
+                } else {
+                    responders.push_back(std::move(responder));
+                }
+                requests.push_back(std::move(request));
+            });
+        CPPUNIT_ASSERT(httpServer->listen(anyLoopbackPort).ok());
+    }
+
+    /** Returns a call with the address of the server. */
+    HttpCall callTo(HttpCall call) const
+    {
+        call.address = httpServer->address();
+        return call;
+    }
+
+    HttpResult call(HttpCall call)
+    {
+        return callAndWait(*ioContext, *httpClient, callTo(std::move(call)));
+    }
+
+    std::unique_ptr<boost::asio::io_context> ioContext;
+    std::unique_ptr<HttpClient> httpClient;
+    std::unique_ptr<HttpServer> httpServer;
+    std::vector<HttpRequest> requests;
+    std::vector<HttpResponder> responders;
+    bool respondsAtOnce = true; ///< If false, the responders are collected in `responders` for the test to call.
+};
+
 } // namespace flamingotally
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -2,7 +2,6 @@
 #include "core/error.h"
 #include "net_fixture.h"
 
-#include <boost/asio/post.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
@@ -10,24 +9,14 @@
 
 using namespace flamingotally;
 
-class NetTest : public CppUnit::TestFixture
+class NetTest : public HttpFixture
 {
     CPPUNIT_TEST_SUITE(NetTest);
     CPPUNIT_TEST(requestArrivesCompletely);
     CPPUNIT_TEST(lateResponsesReachTheirOwnCallers);
-    CPPUNIT_TEST(connectionIsReused);
     CPPUNIT_TEST(requestOnRefusedConnectionWasNeverSent);
-    CPPUNIT_TEST(idleConnectionMakesRoomForANewOne);
-    CPPUNIT_TEST(holdsNoMoreConnectionsThanTheChannelAllows);
-    CPPUNIT_TEST(channelsDoNotWaitForEachOther);
-    CPPUNIT_TEST(callWithoutAConnectionInTimeWasNeverSent);
-    CPPUNIT_TEST(replacesAConnectionWhoseCallGotNoResponse);
-    CPPUNIT_TEST(closesConnectionsThatStayIdle);
-    CPPUNIT_TEST(closeEndsWaitingCalls);
-    CPPUNIT_TEST(sendsACallForOneConnectionOnNoOther);
     CPPUNIT_TEST(closeWithoutResponseMeansUnknownOutcome);
     CPPUNIT_TEST(unresponsiveServerTimesOut);
-    CPPUNIT_TEST(closedIdleConnectionIsNotReused);
     CPPUNIT_TEST(largeBodyIsRefused);
     CPPUNIT_TEST(largeHeaderIsRefused);
     CPPUNIT_TEST(malformedRequestIsRefused);
@@ -41,23 +30,6 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void setUp() override
-    {
-        m_io = std::make_unique<boost::asio::io_context>(1);
-        m_client = std::make_unique<HttpClient>(*m_io);
-        m_requests.clear();
-        m_responders.clear();
-        m_respondsAtOnce = true;
-    }
-
-    void tearDown() override
-    {
-        m_responders.clear();
-        m_client.reset();
-        m_server.reset();
-        m_io.reset();
-    }
-
     void requestArrivesCompletely()
     {
         startServer();
@@ -69,7 +41,7 @@
         CPPUNIT_ASSERT(result.ok());
         CPPUNIT_ASSERT_EQUAL(200U, result->status);
         CPPUNIT_ASSERT_EQUAL(std::string("answer 0"), result->body);
-        const auto &request = m_requests.at(0);
+        const auto &request = requests.at(0);
         CPPUNIT_ASSERT(request.method == HttpMethod::Post);
         CPPUNIT_ASSERT_EQUAL(std::string("/v1/a b"), request.path);
         CPPUNIT_ASSERT_EQUAL(std::string("1"), std::string(fieldValue(request.query, "x")));
@@ -82,193 +54,47 @@
     void lateResponsesReachTheirOwnCallers()
     {
         startServer();
-        m_respondsAtOnce = false;
+        respondsAtOnce = false;
         constexpr std::size_t callers = 20;
         std::vector<std::string> bodies(callers);
         std::size_t responseCount = 0;
         for (std::size_t n = 0; n < callers; ++n) {
-            m_client->send(callTo({.method = HttpMethod::Post, .target = "/", .body = std::to_string(n)}),
-                           [&bodies, &responseCount, n](const HttpResult &result) {
-                               bodies[n] = result->body;
-                               ++responseCount;
-                           });
+            httpClient->send(callTo({.method = HttpMethod::Post, .target = "/", .body = std::to_string(n)}),
+                             [&bodies, &responseCount, n](const HttpResult &result) {
+                                 bodies[n] = result->body;
+                                 ++responseCount;
+                             });
         }
-        runUntil(*m_io, [this] { return m_responders.size() == callers; });
+        runUntil(*ioContext, [this] { return responders.size() == callers; });
         for (std::size_t n = callers; n > 0; --n) {
-            m_responders[n - 1]({.body = "for " + m_requests[n - 1].body});
+            responders[n - 1]({.body = "for " + requests[n - 1].body});
         }
-        runUntil(*m_io, [&responseCount] { return responseCount == callers; });
+        runUntil(*ioContext, [&responseCount] { return responseCount == callers; });
         for (std::size_t n = 0; n < callers; ++n) {
             CPPUNIT_ASSERT_EQUAL(fmt::format("for {}", n), bodies[n]);
         }
     }
 
-    void connectionIsReused()
-    {
-        startServer();
-        for (int n = 0; n < 3; ++n) {
-            CPPUNIT_ASSERT(call({.target = "/"}).ok());
-        }
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_server->connectionCount());
-    }
-
     void requestOnRefusedConnectionWasNeverSent()
     {
         startServer();
-        const auto address = m_server->address();
-        m_server->close();
-        const auto result = callAndWait(*m_io, *m_client, {.address = address, .step = Step::Append});
+        const auto address = httpServer->address();
+        httpServer->close();
+        const auto result = callAndWait(*ioContext, *httpClient, {.address = address, .step = Step::Append});
         CPPUNIT_ASSERT(wasNeverSent(result.status()));
         CPPUNIT_ASSERT(stepOf(result.status()) == Step::Append);
         CPPUNIT_ASSERT_EQUAL(address, peerOf(result.status()));
     }
 
-    /** Idle connections to many addresses used up the limit for good, so that no new address could be reached. */
-    void idleConnectionMakesRoomForANewOne()
-    {
-        startServer();
-        const auto respond = [](const HttpRequest & /*request*/, const HttpResponder &responder) {
-            responder({.body = "other"});
-        };
-        HttpServer other(*m_io, HttpServerSettings{}, respond);
-        CPPUNIT_ASSERT(other.listen(anyLoopbackPort).ok());
-        HttpClient client(*m_io, {.maxConnections = 2});
-        CPPUNIT_ASSERT(callAndWait(*m_io, client, callTo({.target = "/"})).ok());
-        m_respondsAtOnce = false;
-        std::optional<HttpResult> pending;
-        client.send(callTo({.target = "/"}), [&pending](HttpResult arrived) { pending = std::move(arrived); });
-        runUntil(*m_io, [this] { return !m_responders.empty(); });
-        for (int n = 0; n < 3; ++n) {
-            CPPUNIT_ASSERT(callAndWait(*m_io, client, {.address = other.address(), .target = "/"}).ok());
-            m_respondsAtOnce = true;
-            CPPUNIT_ASSERT(callAndWait(*m_io, client, callTo({.target = "/"})).ok());
-        }
-        m_responders.front()({.body = "late"});
-        runUntil(*m_io, [&pending] { return pending.has_value(); });
-        CPPUNIT_ASSERT(pending->ok());
-    }
-
-    /** A burst of orders opened a connection for each, so that a lost host left dozens of them at a worker. */
-    void holdsNoMoreConnectionsThanTheChannelAllows()
-    {
-        startServer();
-        m_respondsAtOnce = false;
-        constexpr std::size_t calls = 6;
-        std::vector<std::string> responses;
-        for (std::size_t n = 0; n < calls; ++n) {
-            sendOn(HttpChannel::Orders, std::to_string(n), responses);
-        }
-        for (std::size_t n = 0; n < calls; ++n) {
-            runUntil(*m_io, [&] { return m_responders.size() == n + 1; });
-            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_server->connectionCount());
-            CPPUNIT_ASSERT_EQUAL(std::to_string(n), m_requests.at(n).body);
-            m_responders.at(n)({.body = "done"});
-            runUntil(*m_io, [&] { return responses.size() == n + 1; });
-        }
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, openOn(HttpChannel::Orders));
-    }
-
-    void channelsDoNotWaitForEachOther()
-    {
-        startServer();
-        m_respondsAtOnce = false;
-        std::vector<std::string> responses;
-        sendOn(HttpChannel::Polls, "poll", responses);
-        runUntil(*m_io, [&] { return m_responders.size() == 1; });
-        m_respondsAtOnce = true;
-        sendOn(HttpChannel::Orders, "order", responses);
-        runUntil(*m_io, [&] { return responses.size() == 1; });
-        m_responders.at(0)({.body = "late"});
-        runUntil(*m_io, [&] { return responses.size() == 2; });
-        CPPUNIT_ASSERT_EQUAL(std::string("late"), responses.at(1));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_server->connectionCount());
-    }
-
-    void callWithoutAConnectionInTimeWasNeverSent()
-    {
-        startServer();
-        m_respondsAtOnce = false;
-        std::vector<std::string> responses;
-        sendOn(HttpChannel::Orders, "slow", responses);
-        runUntil(*m_io, [&] { return m_responders.size() == 1; });
-        const auto result = call({.channel = HttpChannel::Orders, .target = "/", .timeout = Milliseconds{20}});
-        CPPUNIT_ASSERT(wasNeverSent(result.status()));
-        m_responders.at(0)({.body = "slow"});
-        runUntil(*m_io, [&] { return responses.size() == 1; });
-        m_respondsAtOnce = true;
-        CPPUNIT_ASSERT(call({.channel = HttpChannel::Orders, .target = "/"}).ok());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_requests.size());
-    }
-
-    void replacesAConnectionWhoseCallGotNoResponse()
-    {
-        startServer();
-        m_respondsAtOnce = false;
-        for (int n = 0; n < 3; ++n) {
-            const auto result = call({.channel = HttpChannel::Orders, .target = "/", .timeout = Milliseconds{20}});
-            CPPUNIT_ASSERT(result.status().code() == absl::StatusCode::kDeadlineExceeded);
-        }
-        m_responders.clear();
-        m_respondsAtOnce = true;
-        CPPUNIT_ASSERT(call({.channel = HttpChannel::Orders, .target = "/"}).ok());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, openOn(HttpChannel::Orders));
-    }
-
-    /** A daemon that had given its cell away kept its connections to all workers as long as it lived. */
-    void closesConnectionsThatStayIdle()
-    {
-        startServer();
-        HttpClient client(*m_io, {.idleTimeout = Milliseconds{5}});
-        CPPUNIT_ASSERT(callAndWait(*m_io, client, callTo({.target = "/"})).ok());
-        CPPUNIT_ASSERT(callAndWait(*m_io, client, callTo({.channel = HttpChannel::Orders, .target = "/"})).ok());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_server->connectionCount());
-        runUntil(*m_io, [this] { return m_server->connectionCount() == 0; });
-        CPPUNIT_ASSERT(callAndWait(*m_io, client, callTo({.target = "/"})).ok());
-    }
-
-    void closeEndsWaitingCalls()
-    {
-        startServer();
-        m_respondsAtOnce = false;
-        std::vector<std::string> responses;
-        sendOn(HttpChannel::Orders, "first", responses);
-        sendOn(HttpChannel::Orders, "second", responses);
-        runUntil(*m_io, [&] { return m_responders.size() == 1; });
-        m_client->close();
-        runUntil(*m_io, [&] { return responses.size() == 2; });
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, openOn(HttpChannel::Orders));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_requests.size());
-    }
-
-    /** The process on the other side may have restarted since, and take what is meant for its predecessor for its own.
-     */
-    void sendsACallForOneConnectionOnNoOther()
-    {
-        startServer();
-        const auto first = call({.channel = HttpChannel::Polls, .target = "/"});
-        CPPUNIT_ASSERT(first.ok() && first->connection != 0);
-        const auto again = call({.channel = HttpChannel::Polls, .connection = first->connection, .target = "/"});
-        CPPUNIT_ASSERT(again.ok());
-        CPPUNIT_ASSERT_EQUAL(first->connection, again->connection);
-        m_client = std::make_unique<HttpClient>(*m_io, HttpClientSettings{.idleTimeout = Milliseconds{5}});
-        const auto other = call({.channel = HttpChannel::Polls, .target = "/"});
-        runUntil(*m_io, [this] { return m_server->connectionCount() == 0; });
-        const auto late = call({.channel = HttpChannel::Polls, .connection = other->connection, .target = "/"});
-        CPPUNIT_ASSERT(wasConnectionClosed(late.status()));
-        CPPUNIT_ASSERT(wasNeverSent(late.status()));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_requests.size());
-        CPPUNIT_ASSERT(call({.channel = HttpChannel::Polls, .target = "/"}).ok());
-    }
-
     void closeWithoutResponseMeansUnknownOutcome()
     {
         startServer();
-        m_respondsAtOnce = false;
+        respondsAtOnce = false;
         std::optional<HttpResult> result;
-        m_client->send(callTo({.target = "/"}), [&result](HttpResult arrived) { result = std::move(arrived); });
-        runUntil(*m_io, [this] { return !m_responders.empty(); });
-        m_server->close();
-        runUntil(*m_io, [&result] { return result.has_value(); });
+        httpClient->send(callTo({.target = "/"}), [&result](HttpResult arrived) { result = std::move(arrived); });
+        runUntil(*ioContext, [this] { return !responders.empty(); });
+        httpServer->close();
+        runUntil(*ioContext, [&result] { return result.has_value(); });
         CPPUNIT_ASSERT(!result->ok());
         CPPUNIT_ASSERT(!wasNeverSent(result->status()));
     }
@@ -276,22 +102,14 @@
     void unresponsiveServerTimesOut()
     {
         startServer();
-        m_respondsAtOnce = false;
+        respondsAtOnce = false;
         const auto result = call({.target = "/", .timeout = Milliseconds{20}});
         CPPUNIT_ASSERT(result.status().code() == absl::StatusCode::kDeadlineExceeded);
-        m_responders.at(0)({.body = "too late"});
-        m_respondsAtOnce = true;
+        responders.at(0)({.body = "too late"});
+        respondsAtOnce = true;
         CPPUNIT_ASSERT_EQUAL(std::string("answer 1"), call({.target = "/"})->body);
     }
 
-    void closedIdleConnectionIsNotReused()
-    {
-        startServer({.idleTimeout = Milliseconds{5}});
-        CPPUNIT_ASSERT(call({.target = "/"}).ok());
-        runUntil(*m_io, [this] { return m_server->connectionCount() == 0; });
-        CPPUNIT_ASSERT(call({.target = "/"}).ok());
-    }
-
     void largeBodyIsRefused()
     {
         startServer({.maxBodyBytes = 10});
@@ -299,7 +117,7 @@
         CPPUNIT_ASSERT(result.ok());
         CPPUNIT_ASSERT_EQUAL(413U, result->status);
         CPPUNIT_ASSERT(result->body.find("\"reason\":\"request_too_large\"") != std::string::npos);
-        CPPUNIT_ASSERT(m_requests.empty());
+        CPPUNIT_ASSERT(requests.empty());
     }
 
     void largeHeaderIsRefused()
@@ -315,56 +133,56 @@
         startServer();
         for (const std::string bytes :
              {"nonsense\r\n\r\n", "GET %zz HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nbad\r\n\r\n"}) {
-            RawClient caller(*m_io, m_server->address());
+            RawClient caller(*ioContext, httpServer->address());
             caller.send(bytes);
             caller.finishSending();
             const auto response = caller.readToEnd();
             CPPUNIT_ASSERT_MESSAGE(response, response.starts_with("HTTP/1.1 400"));
             CPPUNIT_ASSERT(response.find("\"reason\":\"malformed_request\"") != std::string::npos);
         }
-        CPPUNIT_ASSERT(m_requests.empty());
+        CPPUNIT_ASSERT(requests.empty());
     }
 
     void truncatedRequestNeverReachesTheHandler()
     {
         startServer();
-        RawClient caller(*m_io, m_server->address());
+        RawClient caller(*ioContext, httpServer->address());
         caller.send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
         caller.finishSending();
         CPPUNIT_ASSERT(caller.readToEnd().starts_with("HTTP/1.1 400"));
-        CPPUNIT_ASSERT(m_requests.empty());
+        CPPUNIT_ASSERT(requests.empty());
     }
 
     void slowCallerIsTimedOut()
     {
         startServer({.requestTimeout = Milliseconds{20}});
-        RawClient caller(*m_io, m_server->address());
+        RawClient caller(*ioContext, httpServer->address());
         caller.send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
         CPPUNIT_ASSERT(caller.readToEnd().starts_with("HTTP/1.1 408"));
-        CPPUNIT_ASSERT(m_requests.empty());
+        CPPUNIT_ASSERT(requests.empty());
     }
 
     void expectContinueIsAnswered()
     {
         startServer();
-        RawClient caller(*m_io, m_server->address());
+        RawClient caller(*ioContext, httpServer->address());
         caller.send("POST / HTTP/1.1\r\nConnection: close\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\nbody");
         CPPUNIT_ASSERT(caller.readToEnd().starts_with("HTTP/1.1 100"));
-        CPPUNIT_ASSERT_EQUAL(std::string("body"), m_requests.at(0).body);
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), requests.at(0).body);
     }
 
     void drainAnswersPendingRequests()
     {
         startServer({.drainGraceTime = Milliseconds{1}});
-        m_respondsAtOnce = false;
+        respondsAtOnce = false;
         std::optional<HttpResult> result;
-        m_client->send(callTo({.target = "/"}), [&result](HttpResult arrived) { result = std::move(arrived); });
-        runUntil(*m_io, [this] { return !m_responders.empty(); });
+        httpClient->send(callTo({.target = "/"}), [&result](HttpResult arrived) { result = std::move(arrived); });
+        runUntil(*ioContext, [this] { return !responders.empty(); });
         bool isDrained = false;
-        m_server->drain([&isDrained] { isDrained = true; });
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_server->pendingRequestCount());
-        m_responders.at(0)({.body = "whole"});
-        runUntil(*m_io, [&] { return result.has_value() && isDrained; });
+        httpServer->drain([&isDrained] { isDrained = true; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, httpServer->pendingRequestCount());
+        responders.at(0)({.body = "whole"});
+        runUntil(*ioContext, [&] { return result.has_value() && isDrained; });
         CPPUNIT_ASSERT_EQUAL(std::string("whole"), (*result)->body);
         CPPUNIT_ASSERT_EQUAL(std::string("close"), std::string(fieldValue((*result)->fields, "Connection")));
         CPPUNIT_ASSERT(wasNeverSent(call({.target = "/"}).status()));
@@ -375,9 +193,9 @@
         startServer({.drainGraceTime = Milliseconds{1}});
         CPPUNIT_ASSERT(call({.target = "/"}).ok());
         bool isDrained = false;
-        m_server->drain([&isDrained] { isDrained = true; });
-        runUntil(*m_io, [&isDrained] { return isDrained; });
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_server->connectionCount());
+        httpServer->drain([&isDrained] { isDrained = true; });
+        runUntil(*ioContext, [&isDrained] { return isDrained; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, httpServer->connectionCount());
     }
 
     void arbitraryBytesDoNotStopTheServer()
@@ -385,7 +203,7 @@
         startServer();
         const bool succeeded =
             rc::check("the server still serves after arbitrary bytes", [this](const std::string &bytes) {
-                RawClient caller(*m_io, m_server->address());
+                RawClient caller(*ioContext, httpServer->address());
                 caller.send(bytes);
                 caller.finishSending();
                 caller.readToEnd();
@@ -410,54 +228,6 @@
         call.fields.clear();
         CPPUNIT_ASSERT(callAndWait(io, client, call).ok());
     }
-
-private:
-    /** Starts a server that records the requests and responds at once, unless `m_respondsAtOnce` is false. */
-    void startServer(HttpServerSettings settings = {})
-    {
-        m_server = std::make_unique<HttpServer>(*m_io, settings, [this](HttpRequest request, HttpResponder responder) {
-            if (m_respondsAtOnce) {
-                responder({.contentType = "text/plain", .body = fmt::format("answer {}", m_requests.size())});
-            } else {
-                m_responders.push_back(std::move(responder));
-            }
-            m_requests.push_back(std::move(request));
-        });
-        CPPUNIT_ASSERT(m_server->listen(anyLoopbackPort).ok());
-    }
-
-    /** Returns a call with the address of the server. */
-    HttpCall callTo(HttpCall call) const
-    {
-        call.address = m_server->address();
-        return call;
-    }
-
-    /** Sends a call on a channel. @param responses Receives the body of the response, or the error. */
-    void sendOn(HttpChannel channel, const std::string &body, std::vector<std::string> &responses)
-    {
-        m_client->send(callTo({.channel = channel, .method = HttpMethod::Post, .target = "/", .body = body}),
-                       [&responses](const HttpResult &result) {
-                           responses.push_back(result.ok() ? result->body : messageOf(result.status()));
-                       });
-    }
-
-    std::size_t openOn(HttpChannel channel) const
-    {
-        return m_client->connections()[static_cast<std::size_t>(channel)].open;
-    }
-
-    HttpResult call(HttpCall call)
-    {
-        return callAndWait(*m_io, *m_client, callTo(std::move(call)));
-    }
-
-    std::unique_ptr<boost::asio::io_context> m_io;
-    std::unique_ptr<HttpClient> m_client;
-    std::unique_ptr<HttpServer> m_server;
-    std::vector<HttpRequest> m_requests;
-    std::vector<HttpResponder> m_responders;
-    bool m_respondsAtOnce = true; ///< If false, the responders are collected in `m_responders` for the test to call.
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(NetTest);
