Count jobs as waiting whose starts are refused

Callers were told that no job waited while none of those accepted had begun (MIXED), as the only worker that could run them refused all starts.

Cause: a job counted as begun once a task had been placed, and stayed so when the placement was given up.

Now an occurrence whose last placement is given up before any run has started has not begun, and from then on it begins with the first confirmed start instead of the next placement. Other jobs count as begun when they are placed, as before, which costs no further record.

WaitingCountTest::countsJobsWhoseStartsAreRefused fails without it.

--- a/src/dispatch/job.cpp
+++ b/src/dispatch/job.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/job_base.h"
 
+#include <algorithm>
+
 namespace flamingotally::dispatch
 {
 
@@ -44,12 +46,17 @@
     if (offset < occurrence.offset) {
         return;
     }
+    const bool wasBegun = occurrence.begun;
     const bool wasCompleted = occurrence.outcome == OccurrenceOutcome::Completed;
     occurrence.begun = record.begun;
     occurrence.outcome = record.outcome;
     occurrence.offset = offset;
     occurrence.tasks = record.tasks;
-    state.begun = state.begun || record.begun;
+    if (record.begun) {
+        state.begun = true;
+    } else if (wasBegun) {
+        state.begun = std::ranges::any_of(state.occurrences, &OccurrenceProgress::begun);
+    }
     state.failed = state.failed || record.outcome == OccurrenceOutcome::Failed;
     if (!wasCompleted && record.outcome == OccurrenceOutcome::Completed) {
         ++state.completed;
--- a/src/dispatch/job_base.h
+++ b/src/dispatch/job_base.h
@@ -24,7 +24,7 @@
 
 /** Progress of an occurrence, from its newest record. */
 struct OccurrenceProgress {
-    bool begun = false; ///< At least one of its tasks has been placed.
+    bool begun = false; ///< A task has been placed, and not all placements were given up before a run had started.
     OccurrenceOutcome outcome = OccurrenceOutcome::None;
     std::uint64_t offset = 0; ///< Offset of the newest record in the journal.
     std::vector<TaskProgress> tasks; ///< Empty before the first record and after the end.
@@ -34,7 +34,7 @@
 struct JobState {
     bool cancelled = false;
     bool failed = false;
-    bool begun = false; ///< At least one of its tasks has been placed.
+    bool begun = false; ///< At least one of its occurrences has begun.
     std::uint32_t completed = 0; ///< Occurrences that have completed.
     bool reported = false; ///< This daemon has reported the end of the job to a caller.
     MonotonicTime endedAt{}; ///< When the record that ended the job was read from the journal; zero before.
--- a/src/dispatch/journal_type.h
+++ b/src/dispatch/journal_type.h
@@ -70,7 +70,7 @@
 struct ProgressRecord {
     JobId job = 0;
     std::uint32_t occurrence = 0;
-    bool begun = false; ///< At least one of its tasks has been placed.
+    bool begun = false; ///< A task has been placed, and not all placements were given up before a run had started.
     OccurrenceOutcome outcome = OccurrenceOutcome::None;
     std::vector<TaskProgress> tasks; ///< Ordered by step, then by index; empty once the occurrence has ended.
 };
--- a/src/dispatch/systems/admission.cpp
+++ b/src/dispatch/systems/admission.cpp
@@ -141,7 +141,7 @@
         return it == config.teamByKey.end() ? std::nullopt : std::optional(config.current.teams[it->second].name);
     }
 
-    /** Answers with the number of jobs of a queue of which nothing has been placed and that have not ended. */
+    /** Answers with the number of jobs of a queue that have neither begun nor ended. */
     CallDecision count(const Call &call, const QueueSpec &queue)
     {
         std::uint64_t jobsWaiting = 0;
--- a/src/dispatch/systems/order_response.cpp
+++ b/src/dispatch/systems/order_response.cpp
@@ -72,6 +72,7 @@
             state.phase = RunPhase::Running;
             state.confirmedAt = response.receivedAt;
             state.progressAt = response.receivedAt;
+            recordStart(entry, response.run);
             ++entry.counters.starts;
             entry.counters.observe(LatencyKind::Start, response.receivedAt - response.sentAt);
         }
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -154,6 +154,7 @@
             state.phase = RunPhase::Running;
             state.confirmedAt = response.receivedAt;
             state.progressAt = response.receivedAt;
+            recordStart(entry, run);
         }
         recordProgress(state, row, response.receivedAt);
         if (!row.checkpoint.empty()) {
--- a/src/dispatch/work.cpp
+++ b/src/dispatch/work.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/work_step.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace flamingotally::dispatch
 {
@@ -97,6 +98,7 @@
     state.dueAt = dueAt;
     const auto &known = entry.jobs.table.get<JobState>(job).occurrences[number];
     state.begun = known.begun;
+    state.hasStarted = known.begun;
     state.outcome = known.outcome;
     state.criticalPaths = criticalPathsOf(spec);
     state.objective = objectiveOf(entry.jobs.table.get<JobPlan>(job).policy, state.criticalPaths);
@@ -287,12 +289,22 @@
     work.runByTask[nameOf(entry, task)] = ref;
     const auto occurrence = occurrenceOf(work, task);
     auto &occurrenceState = work.occurrences.get<OccurrenceWork>(occurrence);
-    occurrenceState.begun = true;
+    occurrenceState.begun = occurrenceState.begun || !occurrenceState.wasGivenUp;
     ++occurrenceState.liveRuns;
     markDirty(work, occurrence);
     return ref;
 }
 
+void recordStart(Entry &entry, RunRef run)
+{
+    const auto occurrence = occurrenceOf(entry.work, entry.work.runs.get<RunIdentity>(run).task);
+    auto &state = entry.work.occurrences.get<OccurrenceWork>(occurrence);
+    state.hasStarted = true;
+    if (!std::exchange(state.begun, true)) {
+        markDirty(entry.work, occurrence);
+    }
+}
+
 void stopRun(Entry &entry, RunRef run, const TickTime &time)
 {
     auto &state = entry.work.runs.get<RunState>(run);
--- a/src/dispatch/work_base.h
+++ b/src/dispatch/work_base.h
@@ -32,7 +32,10 @@
 /** Progress of an occurrence as the owner has decided it. The journal may not contain it yet. */
 struct OccurrenceWork {
     MonotonicTime dueAt{}; ///< The first steps may begin at this time.
-    bool begun = false; ///< At least one of its tasks has been placed.
+    /** A task has been placed, or, after all placements were given up once, a run has certainly started. */
+    bool begun = false;
+    bool hasStarted = false; ///< A run has certainly started.
+    bool wasGivenUp = false; ///< All placements were given up before a run had started.
     bool dirty = false; ///< The progress has changed and must be written to the journal.
     bool deferred = false; ///< The progress has changed in a way that may be written a little later.
     bool closed = false; ///< The occurrence completed, or its job failed or was cancelled: no more tasks are started.
--- a/src/dispatch/work_end.cpp
+++ b/src/dispatch/work_end.cpp
@@ -86,6 +86,16 @@
     }
 }
 
+/** Notes that an occurrence has not begun after all, if its last placement was given up and no run has started. */
+void giveUpBeginning(Work &work, OccurrenceRef occurrence)
+{
+    auto &state = work.occurrences.get<OccurrenceWork>(occurrence);
+    if (state.liveRuns == 0 && !state.hasStarted) {
+        state.begun = false;
+        state.wasGivenUp = true;
+    }
+}
+
 /** Marks a task as done. Opens the next groups or completes the occurrence, if all tasks of the group are done. */
 void completeTask(Entry &entry, TaskRef task, const TickTime &time)
 {
@@ -248,6 +258,9 @@
              identity.number,
              entry.workers.table.get<WorkerIdentity>(identity.worker).id,
              flamingotally::nameOf(runEndTable, how));
+    if (how != RunEnd::LeaseExpired) {
+        recordStart(entry, run);
+    }
     if (isSettled(entry, run)) {
         clearCrashes(entry, identity.task);
     }
@@ -342,6 +355,7 @@
     const auto identity = entry.work.runs.get<RunIdentity>(run);
     const auto group = entry.work.tasks.get<TaskIdentity>(identity.task).group;
     eraseRun(entry, run);
+    giveUpBeginning(entry.work, occurrenceOf(entry.work, identity.task));
     if (entry.work.tasks.get<TaskState>(identity.task).phase != TaskPhase::Done) {
         requeueTask(entry, identity.task, time);
     }
--- a/src/dispatch/work_func.h
+++ b/src/dispatch/work_func.h
@@ -43,6 +43,9 @@
  */
 RunRef placeTask(Entry &entry, TaskRef task, WorkerRef worker, RunNumber number, const TickTime &time);
 
+/** Notes that a run has certainly started, so that its occurrence has begun. */
+void recordStart(Entry &entry, RunRef run);
+
 /** Makes a run stop: orders to stop it follow. A planned run, for which no order was sent, is discarded immediately. */
 void stopRun(Entry &entry, RunRef run, const TickTime &time);
 
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -155,6 +155,7 @@
     bool changesIdsAfterCrash = false;
     std::map<std::size_t, StoreMode> storeModes; ///< By daemon.
     std::map<std::size_t, LinkMode> linkModes; ///< By worker.
+    std::set<std::size_t> unhealthyWorkers; ///< Workers that refuse all start orders.
     std::map<std::size_t, std::deque<StopFault>> stopFaults; ///< By worker: faults of the next stop orders to it.
     std::map<std::size_t, Milliseconds> tickTimes; ///< How long a tick of a daemon takes, by daemon; else no time.
     /** Workers that a daemon examines in a millisecond of its ticks, by daemon; else it examines any number at once. */
--- a/tests/fakes/dispatch_world_workers.cpp
+++ b/tests/fakes/dispatch_world_workers.cpp
@@ -65,6 +65,9 @@
 {
     auto &model = worker(n);
     const bool isMeant = order.id == model.id() || model.isDown(m_queue.now());
+    if (isMeant && unhealthyWorkers.contains(n)) {
+        return OrderResult::Unhealthy;
+    }
     return isMeant ? model.start(order, m_queue.now()) : OrderResult::WorkerReplaced;
 }
 
