Say in metrics and pages what lost runs are

The counter's text named silence and replacement only; runs of restarted workers, and those that a report lacks, count as well since the runs are lost by one function.

--- a/src/dispatch/entry_base.h
+++ b/src/dispatch/entry_base.h
@@ -276,7 +276,7 @@
     std::uint64_t undecided = 0; ///< Calls whose outcome was not known in time.
     std::uint64_t claims = 0; ///< Claims of ownership that were queued.
     std::uint64_t resignations = 0; ///< Times that this daemon lost or released ownership.
-    std::uint64_t lostRuns = 0; ///< Runs whose worker was unreachable until its lease expired, or was replaced.
+    std::uint64_t lostRuns = 0; ///< Runs that ended without a report of their end; RunLost events name the causes.
     std::array<std::uint64_t, enumSize<OrderResult>> rejectedStarts{}; ///< Start orders that were rejected, by result.
     std::array<Latency, enumSize<LatencyKind>> latencies{}; ///< By LatencyKind.
     std::uint64_t unansweredOrders = 0; ///< Start orders that got no response.
--- a/src/dispatch/net/entry_metrics.cpp
+++ b/src/dispatch/net/entry_metrics.cpp
@@ -54,7 +54,7 @@
                    return it.counters.starts;
                }},
     CounterRow{"flamingotally_lost_runs_total",
-               "Runs that were lost because their worker was unreachable until its lease expired, or was replaced.",
+               "Runs that ended without a report of their end: the worker was silent, restarted or was replaced.",
                [](const Entry &it) {
                    return it.counters.lostRuns;
                }},
