Log why workers get no tasks, and count them in the load line

What callers saw: nothing yet; this only makes the next fault visible.

Cause of the gap: a worker that is paused after failed or stalled runs looks like one without work, in logs and metrics alike, so the hypotheses of docs/incidents/one-job-takes-all-workers.md can't be told apart.

No logic changes.

--- a/src/dispatch/systems/load_report.cpp
+++ b/src/dispatch/systems/load_report.cpp
@@ -32,6 +32,17 @@
     return it;
 }
 
+/** Counts the listed workers that get no tasks for a while because of runs or responses of theirs. */
+std::size_t countSuspended(const Entry &entry, const TickTime &time)
+{
+    std::size_t n = 0;
+    entry.workers.table.forEach([&](WorkerRef worker) {
+        const auto &health = entry.workers.table.get<WorkerHealth>(worker);
+        n += health.listed && time.now < health.avoidUntil ? 1 : 0;
+    });
+    return n;
+}
+
 /** Returns the part of the line that only an owner has. */
 std::string describeOwner(const Entry &entry, const TickTime &time)
 {
@@ -40,13 +51,14 @@
     const auto groupsWaiting = [&entry](Timeliness timeliness) {
         return entry.work.pass.groupsWaiting[static_cast<std::size_t>(timeliness)];
     };
-    return fmt::format(" token={} workers={} silent={} polls_in_flight={} orders_in_flight={} "
+    return fmt::format(" token={} workers={} silent={} suspended={} polls_in_flight={} orders_in_flight={} "
                        "orders_waiting={} order_window={} typical_response_ms={} link_in_doubt={} "
                        "groups_waiting={} in_time={} late={} too_late={} gangs={} runs={} queued_records={} "
                        "advice_in_flight={} workers_evaluated={}",
                        entry.ownership.token,
                        workers.silence.listed,
                        workers.silence.silent,
+                       countSuspended(entry, time),
                        it.polls,
                        it.orders,
                        workers.pacing.ordersWaiting,
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -30,14 +30,30 @@
 constexpr std::uint32_t unresponsiveAfter = 2;
 constexpr Milliseconds malformedRowPause{300}; ///< Pause before the next poll after a report with malformed rows.
 
+/** Logs that a worker gets no tasks for a while because of a run of a job. */
+void logSuspension(Entry &entry, WorkerRef worker, const TaskName &task, std::string_view cause, const TickTime &time)
+{
+    const auto &health = entry.workers.table.get<WorkerHealth>(worker);
+    logEvent(entry,
+             EventKind::WorkerSuspended,
+             task.job,
+             "worker={} cause={} step={} failed_in_row={} pause_ms={}",
+             entry.workers.table.get<WorkerIdentity>(worker).id,
+             cause,
+             task.step,
+             health.failedInRow,
+             (health.avoidUntil - time.now).count());
+}
+
 /** Counts consecutive failed runs on a worker; from `failuresInRow` on, each of them suspends placement there. */
-void recordRunOutcome(Entry &entry, WorkerRef worker, RunEnd how, const TickTime &time)
+void recordRunOutcome(Entry &entry, WorkerRef worker, const TaskName &task, RunEnd how, const TickTime &time)
 {
     auto &health = entry.workers.table.get<WorkerHealth>(worker);
     if (how == RunEnd::Done) {
         health.failedInRow = 0;
     } else if (how == RunEnd::Failed && ++health.failedInRow >= failuresInRow) {
         health.avoidUntil = time.now + failingPause;
+        logSuspension(entry, worker, task, "failed", time);
         health.failedInRow = failuresInRow - 1;
     }
 }
@@ -130,6 +146,7 @@
     entry.work.tasks.get<TaskState>(identity.task).avoidedWorker = identity.worker;
     auto &health = entry.workers.table.get<WorkerHealth>(identity.worker);
     health.avoidUntil = std::max(health.avoidUntil, time.now + stalledPause);
+    logSuspension(entry, identity.worker, name, "stalled", time);
     stopRun(entry, run, time);
 }
 
@@ -185,7 +202,7 @@
             continue;
         }
         if (const auto run = findRun(entry, response.worker, row.task, row.run); run.isSet()) {
-            recordRunOutcome(entry, response.worker, row.how, time);
+            recordRunOutcome(entry, response.worker, row.task, row.how, time);
             endRun(entry, run, row.how, row.checkpoint, time);
         } else if (row.how == RunEnd::Done) {
             endUnknownRun(entry, row.task, time);
