Tell faulty steps from faulty workers, and delay restarts of steps that keep failing

Cause, two faults of one kind, a job's own failures charged to what all share: 1. Each failed run counted against its worker, whatever job it was of. Three in a row took the worker out for 6 s, and one more was enough after that. A stalled run did so at once, for 3 s. 2. Hidden by the first: a failed lasting task was ready again at once and goes before all other work, so that its runs fill the cell.

Change: faults are kept by group and worker. A step whose runs have faults on two or more workers, and on more than its sound tasks, is to blame itself; what was counted against workers for it is taken back. A worker is suspended for faults of three steps (failed) or one (stalled), and no more than a quarter of a pool at a time. An endless task waits after its third short run, 0.1 s at first and 4 s at most, by the short runs of its step once that is at fault; a run of 5 s clears that. The count is stored with the task. Tasks that wait for that reserve no capacity and ask for no tickets. A step at fault loses its place before others. A lasting gang is not counted towards the maximum of attempts, as before, but by the same delay.

Why this mends it: no job can take more than a quarter of a pool's workers from others by faults of its runs, and a lasting job that can't run takes one short run in 3 to 4 s a task, within the bound in which it is owed.

--- a/src/dispatch/journal_type.h
+++ b/src/dispatch/journal_type.h
@@ -58,7 +58,7 @@
 /** Progress of a task. */
 struct TaskProgress {
     TaskPhase phase = TaskPhase::Waiting;
-    std::uint32_t failures = 0; ///< Number of failed runs.
+    std::uint32_t failures = 0; ///< Number of failed runs; for an endless step, number of short runs in a row.
     RunNumber run = 0; ///< Number of the last run.
     std::string worker; ///< Id of the worker of the last run; empty unless the task is placed.
     std::string checkpoint; ///< Last checkpoint, from which the next run resumes.
--- a/src/dispatch/net/entry_metrics.cpp
+++ b/src/dispatch/net/entry_metrics.cpp
@@ -88,6 +88,26 @@
                [](const Entry &it) {
                    return it.counters.resignations;
                }},
+    CounterRow{"flamingotally_worker_suspensions_total",
+               "Times that a worker got no tasks for a while because of failed or stalled runs.",
+               [](const Entry &it) {
+                   return it.counters.suspensions;
+               }},
+    CounterRow{"flamingotally_worker_suspensions_over_limit_total",
+               "Times that a worker was not suspended because enough workers of its pool were.",
+               [](const Entry &it) {
+                   return it.counters.suspensionsOverLimit;
+               }},
+    CounterRow{"flamingotally_faulty_steps_total",
+               "Times that a step was blamed for its failed or stalled runs, in place of the workers.",
+               [](const Entry &it) {
+                   return it.counters.faultySteps;
+               }},
+    CounterRow{"flamingotally_delayed_restarts_total",
+               "Restarts of endless tasks that were delayed after short runs.",
+               [](const Entry &it) {
+                   return it.counters.delayedRestarts;
+               }},
     CounterRow{"flamingotally_dropped_log_lines_total",
                "Log lines dropped because the buffer was full.",
                [](const Entry &it) {
--- a/src/dispatch/policy/capacity_reservation.h
+++ b/src/dispatch/policy/capacity_reservation.h
@@ -21,7 +21,7 @@
     /** Reserves capacity for the group's tasks that wait for a ticket's renewal or are large. */
     void reserveCapacity()
     {
-        const auto waiting = waitingTasks(m_entry, m_evaluation.group());
+        const auto waiting = readyTasks(m_entry, m_evaluation.group(), m_time);
         if (waiting == 0 || !isWithinTeamLimit(m_entry, m_evaluation.group(), m_evaluation.step().perTask)) {
             return;
         }
--- a/src/dispatch/policy/group_order.h
+++ b/src/dispatch/policy/group_order.h
@@ -15,7 +15,7 @@
     double usePerShare = 0; ///< Resources that the team uses, in cores, divided by the team's share.
     MonotonicTime objectiveAt{}; ///< Time by which the occurrence should be done.
     Timeliness timeliness = Timeliness::InTime;
-    bool endless = false;
+    bool endless = false; ///< Its step is endless and not at fault for failures of its runs.
     std::uint64_t visitedInPass = 0; ///< Number of the last pass that tried to place the group; zero for none.
 };
 
--- a/src/dispatch/policy/placer.h
+++ b/src/dispatch/policy/placer.h
@@ -108,11 +108,7 @@
         const auto tasks = m_entry.work.groups.get<GroupState>(m_evaluation.group()).tasks;
         for (const auto it : tasks) {
             const auto &task = m_entry.work.tasks.get<TaskState>(it);
-            if (task.phase != TaskPhase::Waiting) {
-                continue;
-            }
-            if (m_time.now < task.readyAt) {
-                m_entry.wakeBy(task.readyAt);
+            if (task.phase != TaskPhase::Waiting || m_time.now < task.readyAt) {
                 continue;
             }
             const auto worker = isWithinTeamLimit(m_entry, m_evaluation.group(), m_evaluation.step().perTask)
--- a/src/dispatch/policy/worker_choice.h
+++ b/src/dispatch/policy/worker_choice.h
@@ -16,7 +16,7 @@
     bool isAvoided = false; ///< The task's last failed or stalled run was on this worker.
     bool wouldInterfere = false; ///< The task would put best-effort and latency-bound runs on the same worker.
     bool hasRecentStart = false; ///< The task is suspected of a crash, and a task has just been placed on the worker.
-    std::uint32_t failedInRow = 0; ///< Consecutive failed runs on the worker.
+    std::size_t faults = 0; ///< Faults of runs for which the worker may be to blame.
     std::uint32_t sameGroup = 0; ///< Number of tasks of the group on the worker.
 };
 
@@ -40,8 +40,8 @@
         constexpr double recentStartPenalty = 200;
         constexpr double interferencePenalty = 100;
         constexpr double farPenalty = 50;
-        constexpr double failurePenalty = 5;
-        double score = -failurePenalty * it.failedInRow;
+        constexpr double faultPenalty = 5;
+        double score = -faultPenalty * static_cast<double>(it.faults);
         score -= it.isAvoided ? avoidedPenalty : 0;
         score -= it.hasRecentStart ? recentStartPenalty : 0;
         score -= it.wouldInterfere ? interferencePenalty : 0;
--- a/src/dispatch/systems/placement.cpp
+++ b/src/dispatch/systems/placement.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/entry_func.h"
+#include "dispatch/fault_func.h"
 #include "dispatch/policy/group_order.h"
 #include "dispatch/policy/placer.h"
 #include "dispatch/stage_func.h"
@@ -47,7 +48,7 @@
     const auto &step = stepOf(entry, group);
     GroupView view;
     view.priority = policy.priority;
-    view.endless = step.endless;
+    view.endless = step.endless && !isStepAtFault(entry, group);
     view.visitedInPass = entry.work.groups.get<GroupState>(group).visitedInPass;
     const auto &team = entry.jobs.table.get<JobIdentity>(identity.job).team;
     const auto &config = entry.config;
@@ -167,6 +168,17 @@
     }
 }
 
+/** Makes a pass run when the next waiting task of a group may be placed. */
+void requestPassWhenReady(Entry &entry, GroupRef group, const TickTime &time)
+{
+    for (const auto it : entry.work.groups.get<GroupState>(group).tasks) {
+        const auto &task = entry.work.tasks.get<TaskState>(it);
+        if (task.phase == TaskPhase::Waiting && task.readyAt > time.now) {
+            entry.work.fullPassAt = std::min(entry.work.fullPassAt, task.readyAt);
+        }
+    }
+}
+
 /**
  * Places tasks of a group; for the others, asks for tickets or reserves capacity where that can help.
  * @param isUseful The group is not too late to be useful.
@@ -174,14 +186,18 @@
 void visitGroup(Entry &entry, GroupRef group, bool isUseful, const TickTime &time)
 {
     entry.work.groups.get<GroupState>(group).visitedInPass = entry.work.pass.number;
+    requestPassWhenReady(entry, group, time);
+    if (readyTasks(entry, group, time) == 0) {
+        return;
+    }
     Placer<FitChoice> placer(entry, group, time);
     if (const auto placed = placer.place(); placed > 0) {
         logPlacement(entry, group, placed, time);
     }
     const bool isNew = entry.work.groups.get<GroupAdvice>(group).requestCount == 0;
     const bool isPending = entry.work.groups.get<GroupAdvice>(group).pendingNumber != 0;
-    const bool mayNeedAdvice =
-        policyOf(entry, group).advice.required && !isPending && !placer.isAtLimit() && hasWaiting(entry, group);
+    const bool mayNeedAdvice = policyOf(entry, group).advice.required && !isPending && !placer.isAtLimit()
+        && readyTasks(entry, group, time) > 0;
     if (mayNeedAdvice && (isNew || placer.lacksTickets())) {
         requestAdvice(entry, group, isUseful);
     }
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -1,7 +1,9 @@
 #include "dispatch/crash_func.h"
 #include "dispatch/entry_func.h"
+#include "dispatch/fault_func.h"
 #include "dispatch/lease_expiry.h"
 #include "dispatch/policy/order_pacing.h"
+#include "dispatch/restart_func.h"
 #include "dispatch/systems/report_absence.h"
 #include "dispatch/systems/response_pause.h"
 #include "dispatch/systems/systems.h"
@@ -20,41 +22,25 @@
 
 /** Pause before the next poll after two or more consecutive polls without a response. */
 constexpr Milliseconds missedPollPause{250};
-/** How long a worker gets no tasks after `failuresInRow` consecutive failed runs. */
-constexpr Milliseconds failingPause{6'000};
 constexpr Milliseconds stallLimit{1'500}; ///< A run is never stalled while its last progress is more recent than this.
 constexpr int stallDivisor = 4; ///< A run is stalled after 1/4 of its estimate without progress, if that is longer.
-constexpr Milliseconds stalledPause{3'000}; ///< How long a worker gets no tasks after a run stalled on it.
-constexpr std::uint32_t failuresInRow = 3; ///< Consecutive failed runs after which a worker counts as failing.
+/** The limit is longer by this factor if the runs of the step stall on several workers: it may just be slow. */
+constexpr int slowStepFactor = 8;
 /** Consecutive polls without a response after which a worker is unresponsive. */
 constexpr std::uint32_t unresponsiveAfter = 2;
 constexpr Milliseconds malformedRowPause{300}; ///< Pause before the next poll after a report with malformed rows.
 
-/** Logs that a worker gets no tasks for a while because of a run of a job. */
-void logSuspension(Entry &entry, WorkerRef worker, const TaskName &task, std::string_view cause, const TickTime &time)
-{
-    const auto &health = entry.workers.table.get<WorkerHealth>(worker);
-    logEvent(entry,
-             EventKind::WorkerSuspended,
-             task.job,
-             "worker={} cause={} step={} failed_in_row={} pause_ms={}",
-             entry.workers.table.get<WorkerIdentity>(worker).id,
-             cause,
-             task.step,
-             health.failedInRow,
-             (health.avoidUntil - time.now).count());
-}
-
-/** Counts consecutive failed runs on a worker; from `failuresInRow` on, each of them suspends placement there. */
-void recordRunOutcome(Entry &entry, WorkerRef worker, const TaskName &task, RunEnd how, const TickTime &time)
+/**
+ * Records what the end of a run shows of its worker and its step. The end of an endless run that has lasted for long
+ * shows nothing of either.
+ */
+void recordRunOutcome(Entry &entry, RunRef run, RunEnd how, const TickTime &time)
 {
-    auto &health = entry.workers.table.get<WorkerHealth>(worker);
-    if (how == RunEnd::Done) {
-        health.failedInRow = 0;
-    } else if (how == RunEnd::Failed && ++health.failedInRow >= failuresInRow) {
-        health.avoidUntil = time.now + failingPause;
-        logSuspension(entry, worker, task, "failed", time);
-        health.failedInRow = failuresInRow - 1;
+    const bool isEndless = stepOf(entry, groupOf(entry, run)).endless;
+    if (how == RunEnd::Done && !isEndless) {
+        recordSoundRun(entry, run, time);
+    } else if (isOwnEnd(how) && !(isEndless && isLongRun(entry, run, time.now))) {
+        recordFault(entry, run, FaultKind::Failed, time);
     }
 }
 
@@ -121,13 +107,15 @@
 {
     const auto &state = entry.work.runs.get<RunState>(run);
     const auto task = entry.work.runs.get<RunIdentity>(run).task;
-    const auto &step = stepOf(entry, entry.work.tasks.get<TaskIdentity>(task).group);
+    const auto group = entry.work.tasks.get<TaskIdentity>(task).group;
+    const auto &step = stepOf(entry, group);
     const bool makesSteadyProgress = !step.gang && !step.bestEffort && !step.endless;
-    const auto limit = std::max(stallLimit, step.runEstimate / stallDivisor);
+    const auto usualLimit = std::max(stallLimit, step.runEstimate / stallDivisor);
+    const auto limit = isStepAtFault(entry, group) ? usualLimit * slowStepFactor : usualLimit;
     return makesSteadyProgress && state.phase == RunPhase::Running && at - state.progressAt > limit;
 }
 
-/** Stops a stalled run and avoids its worker for a while, so that the task can run on another one. */
+/** Stops a stalled run, so that its task can run on another worker. */
 void stopStalled(Entry &entry, RunRef run, const TickTime &time)
 {
     const auto identity = entry.work.runs.get<RunIdentity>(run);
@@ -144,9 +132,7 @@
              entry.work.runs.get<RunState>(run).percent,
              (time.now - entry.work.runs.get<RunState>(run).progressAt).count());
     entry.work.tasks.get<TaskState>(identity.task).avoidedWorker = identity.worker;
-    auto &health = entry.workers.table.get<WorkerHealth>(identity.worker);
-    health.avoidUntil = std::max(health.avoidUntil, time.now + stalledPause);
-    logSuspension(entry, identity.worker, name, "stalled", time);
+    recordFault(entry, run, FaultKind::Stalled, time);
     stopRun(entry, run, time);
 }
 
@@ -177,6 +163,10 @@
         if (!row.checkpoint.empty()) {
             entry.work.tasks.get<TaskState>(entry.work.runs.get<RunIdentity>(run).task).checkpoint = row.checkpoint;
         }
+        const bool isEndless = stepOf(entry, groupOf(entry, run)).endless;
+        if (isEndless && !state.isSound && isLongRun(entry, run, response.receivedAt)) {
+            recordLongRun(entry, run, time);
+        }
         if (isStalled(entry, run, response.receivedAt)) {
             stopStalled(entry, run, time);
         }
@@ -202,7 +192,7 @@
             continue;
         }
         if (const auto run = findRun(entry, response.worker, row.task, row.run); run.isSet()) {
-            recordRunOutcome(entry, response.worker, row.task, row.how, time);
+            recordRunOutcome(entry, run, row.how, time);
             endRun(entry, run, row.how, row.checkpoint, time);
         } else if (row.how == RunEnd::Done) {
             endUnknownRun(entry, row.task, time);
--- a/src/dispatch/work.cpp
+++ b/src/dispatch/work.cpp
@@ -106,7 +106,7 @@
     const auto occurrence = work.occurrences.insert({job, number}, std::move(state));
     work.byJob[job].push_back(occurrence);
     for (std::uint32_t n = 0; n < spec.steps.size(); ++n) {
-        const auto group = work.groups.insert({occurrence, job, n}, {}, {});
+        const auto group = work.groups.insert({occurrence, job, n}, {}, {}, {});
         makeTasks(work, group, spec.steps[n].count);
         work.occurrences.get<OccurrenceWork>(occurrence).groups.push_back(group);
     }
@@ -145,6 +145,20 @@
         tasks, [&](TaskRef it) { return entry.work.tasks.get<TaskState>(it).phase == TaskPhase::Waiting; }));
 }
 
+std::size_t readyTasks(const Entry &entry, GroupRef group, const TickTime &time)
+{
+    const auto &tasks = entry.work.groups.get<GroupState>(group).tasks;
+    return static_cast<std::size_t>(std::ranges::count_if(tasks, [&](TaskRef it) {
+        const auto &task = entry.work.tasks.get<TaskState>(it);
+        return task.phase == TaskPhase::Waiting && time.now >= task.readyAt;
+    }));
+}
+
+GroupRef groupOf(const Entry &entry, RunRef run)
+{
+    return entry.work.tasks.get<TaskIdentity>(entry.work.runs.get<RunIdentity>(run).task).group;
+}
+
 TaskName nameOf(const Entry &entry, TaskRef task)
 {
     const auto &work = entry.work;
--- a/src/dispatch/work_base.h
+++ b/src/dispatch/work_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/enum_table.h"
+#include "dispatch/fault_type.h"
 #include "dispatch/job_base.h"
 #include "dispatch/stage_type.h"
 
@@ -63,8 +64,12 @@
     bool open = false; ///< The earlier steps are done and the occurrence is due: tasks of the group may be placed.
     bool listed = false; ///< The group is in Work::waitingGroups.
     std::uint32_t done = 0; ///< Number of tasks that are done.
-    std::uint32_t failures = 0; ///< For a gang: number of attempts of which at least one run failed.
-    RunNumber failedRun = 0; ///< For a gang: number of the last run that was counted in `failures`.
+    /**
+     * For a gang, number of attempts of which at least one run failed; for an endless step, number of short runs since
+     * the last long one.
+     */
+    std::uint32_t failures = 0;
+    RunNumber failedRun = 0; ///< For a gang: number of the last run that was counted in TaskState::failures.
     /** For a gang: number of the last run that was counted in the `crashWeight` of its members. */
     RunNumber crashedRun = 0;
     std::uint64_t visitedInPass = 0; ///< Number of the last pass that tried to place it; zero before.
@@ -97,7 +102,14 @@
     MonotonicTime searchAt{}; ///< Workers to ask about are not searched before this time, as none was found.
 };
 
-using GroupTable = Table<GroupTag, GroupIdentity, GroupState, GroupAdvice>;
+/** Faults of the runs of a group; fault.cpp decides by them whether its step or its workers are to blame. */
+struct GroupFaults {
+    std::vector<FaultyWorker> workers; ///< Workers on which runs had faults since the last sound one, each once.
+    bool isStepAtFault = false; ///< The step is to blame for them.
+    Milliseconds loggedDelay{0}; ///< Longest delay of a restart that was logged.
+};
+
+using GroupTable = Table<GroupTag, GroupIdentity, GroupState, GroupAdvice, GroupFaults>;
 
 /** Group and index of a task. */
 struct TaskIdentity {
@@ -108,7 +120,11 @@
 /** Progress of a task. */
 struct TaskState {
     TaskPhase phase = TaskPhase::Waiting;
-    std::uint32_t failures = 0; ///< Number of failed runs; for a member of a gang, that of the gang.
+    /**
+     * Number of failed runs; for an endless step, number of short runs in a row. For a member of a gang, that of the
+     * gang.
+     */
+    std::uint32_t failures = 0;
     /** Weighted crashes of which its runs are suspected; for a member of a gang, that of the gang. */
     std::uint32_t crashWeight = 0;
     RunNumber lastRun = 0; ///< Number of the last run, or a higher number after which the next run is numbered.
@@ -148,6 +164,7 @@
     Resources chargedToTeam; ///< Resources that the run adds to Work::teamUse.
     std::uint32_t percent = 0; ///< Percentage of the work that is done, as last reported.
     MonotonicTime progressAt{}; ///< When the reported percentage last changed.
+    bool isSound = false; ///< Run of an endless task that has lasted for long; see recordLongRun().
 };
 
 using RunTable = Table<RunTag, RunIdentity, RunState>;
--- a/src/dispatch/work_end.cpp
+++ b/src/dispatch/work_end.cpp
@@ -2,6 +2,7 @@
 
 #include "dispatch/crash_func.h"
 #include "dispatch/entry_func.h"
+#include "dispatch/restart_func.h"
 #include "dispatch/stage_func.h"
 #include "dispatch/table/dispatch_table.h"
 #include "dispatch/work_step.h"
@@ -118,16 +119,10 @@
     }
 }
 
-/**
- * Counts a failed run of a task outside a gang; fails the job at the maximum. Endless tasks may fail any number of
- * times.
- */
+/** Counts a failed run of a task outside a gang; fails the job at the maximum. */
 void countFailure(Entry &entry, TaskRef task, const TickTime &time)
 {
     const auto group = entry.work.tasks.get<TaskIdentity>(task).group;
-    if (stepOf(entry, group).endless) {
-        return;
-    }
     auto &state = entry.work.tasks.get<TaskState>(task);
     if (++state.failures >= policyOf(entry, group).maxAttempts) {
         failJob(entry, occurrenceOf(entry.work, task), failedRunsCause, time);
@@ -147,21 +142,21 @@
     }
 }
 
-/** Updates a task outside a gang after its run has ended. */
+/** Updates a task outside a gang after its run has ended. Endless tasks may fail any number of times. */
 void endSingle(Entry &entry, TaskRef task, RunEnd how, const TickTime &time)
 {
-    const auto group = entry.work.tasks.get<TaskIdentity>(task).group;
-    if (how == RunEnd::Done && !stepOf(entry, group).endless) {
+    const bool isEndless = stepOf(entry, entry.work.tasks.get<TaskIdentity>(task).group).endless;
+    if (how == RunEnd::Done && !isEndless) {
         completeTask(entry, task, time);
         return;
     }
-    if (how == RunEnd::Failed) {
+    if (how == RunEnd::Failed && !isEndless) {
         countFailure(entry, task, time);
     }
     requeueTask(entry, task, time);
 }
 
-/** Counts a failed run of a gang once for all members; fails the job at the maximum, unless the step is endless. */
+/** Counts a failed run of a gang once for all members; fails the job at the maximum. */
 void countGangFailure(Entry &entry, GroupRef group, RunNumber number, const TickTime &time)
 {
     auto &state = entry.work.groups.get<GroupState>(group);
@@ -173,7 +168,7 @@
     for (const auto it : state.tasks) {
         entry.work.tasks.get<TaskState>(it).failures = state.failures;
     }
-    if (state.failures >= policyOf(entry, group).maxAttempts && !stepOf(entry, group).endless) {
+    if (state.failures >= policyOf(entry, group).maxAttempts) {
         failJob(entry, entry.work.groups.get<GroupIdentity>(group).occurrence, failedRunsCause, time);
     }
 }
@@ -223,7 +218,7 @@
     auto &work = entry.work;
     const auto group = work.tasks.get<TaskIdentity>(task).group;
     const auto tasks = work.groups.get<GroupState>(group).tasks;
-    if (how == RunEnd::Failed) {
+    if (how == RunEnd::Failed && !stepOf(entry, group).endless) {
         countGangFailure(entry, group, number, time);
     }
     if (how == RunEnd::Done) {
@@ -267,6 +262,9 @@
     if (how == RunEnd::Done) {
         recordStages(entry, run, time);
     }
+    if (isOwnEnd(how) && stepOf(entry, group).endless) {
+        delayRestart(entry, run, time);
+    }
     eraseRun(entry, run);
     if (!checkpoint.empty()) {
         work.tasks.get<TaskState>(identity.task).checkpoint = checkpoint;
--- a/src/dispatch/work_func.h
+++ b/src/dispatch/work_func.h
@@ -15,6 +15,18 @@
 /** Returns the number of tasks of a group that wait to be placed. */
 std::size_t waitingTasks(const Entry &entry, GroupRef group);
 
+/** Returns the number of tasks of a group that wait to be placed and need not wait until a later time. */
+std::size_t readyTasks(const Entry &entry, GroupRef group, const TickTime &time);
+
+/** Returns the group of a run's task. */
+GroupRef groupOf(const Entry &entry, RunRef run);
+
+/** Returns true if a run with such an end has ended by itself: it was neither stopped nor lost. */
+constexpr bool isOwnEnd(RunEnd how)
+{
+    return how == RunEnd::Done || how == RunEnd::Failed;
+}
+
 /** Returns the public name of a task. */
 TaskName nameOf(const Entry &entry, TaskRef task);
 
--- a/src/dispatch/worker_base.h
+++ b/src/dispatch/worker_base.h
@@ -3,6 +3,7 @@
 
 #include "core/time_type.h"
 #include "dispatch/crash_type.h"
+#include "dispatch/fault_type.h"
 #include "dispatch/job_type.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -43,8 +44,10 @@
     bool listed = false; ///< The worker is in the list of workers.
     bool draining = false; ///< The worker will be removed and gets no more tasks.
     MonotonicTime earliestRemovalAt{}; ///< While draining: the worker is not removed before this time.
-    std::uint32_t failedInRow = 0; ///< Consecutive failed runs, counted up to 2; reset by a run that was done.
-    MonotonicTime avoidUntil{}; ///< The worker gets no tasks before this time.
+    std::vector<WorkerFault> faults; ///< Faults for which it may be to blame, since its last sound run, oldest first.
+    MonotonicTime suspendedUntil{}; ///< The worker gets no tasks before this time, because of `faults`.
+    FaultKind suspendedFor = FaultKind::Failed; ///< Kind of the faults because of which it was last suspended.
+    MonotonicTime avoidUntil{}; ///< The worker gets no tasks before this time, as it has refused a start.
     std::uint64_t acceptsInPass = 0; ///< Number of the last placement pass in which the worker accepted tasks.
     /** The worker gets no tasks before this time, so that a crash shows whether the task placed last was the cause. */
     MonotonicTime exclusiveUntil{};
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -67,11 +67,15 @@
     }
 }
 
-DispatchWorld::DispatchWorld(std::size_t daemons, std::size_t workers) : configuration(plainConfiguration())
+DispatchWorld::DispatchWorld(std::size_t daemons, std::size_t workers)
+    : callerKey(redKey), configuration(plainConfiguration())
 {
     for (std::size_t n = 0; n < workers; ++n) {
         const auto id = fmt::format("w{}", n);
-        const standin::WorkerHooks hooks{[this](const TaskName &task, RunNumber run) -> standin::RunScript {
+        const standin::WorkerHooks hooks{[this, n](const TaskName &task, RunNumber run) -> standin::RunScript {
+                                             if (const auto it = scriptsByWorker.find(n); it != scriptsByWorker.end()) {
+                                                 return it->second;
+                                             }
                                              const auto it = scripts.find(task);
                                              if (it == scripts.end() || it->second.empty()) {
                                                  return defaultScript;
@@ -238,7 +242,7 @@
     call.verb = CallVerb::Submit;
     call.host = "host";
     call.path = fmt::format("{}{:016x}", prefix, id);
-    call.key = digestOfKey(redKey);
+    call.key = digestOfKey(callerKey);
     call.spec = std::move(spec);
     call.receivedAt = MonotonicTime{m_queue.now()};
     call.deadline = call.receivedAt + answerTimeout;
@@ -254,7 +258,7 @@
     call.verb = verb;
     call.host = "host";
     call.path = verb == CallVerb::Count ? std::string("/q/") : fmt::format("/q/{:016x}", id);
-    call.key = digestOfKey(redKey);
+    call.key = digestOfKey(callerKey);
     call.receivedAt = MonotonicTime{m_queue.now()};
     call.deadline = call.receivedAt + answerTimeout;
     deliver(
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -151,6 +151,9 @@
      */
     std::map<dispatch::TaskName, std::vector<standin::RunScript>> scripts;
     standin::RunScript defaultScript; ///< Script of the runs of tasks without scripts.
+    /** Script of all runs that begin on a worker, whatever their tasks, by worker. */
+    std::map<std::size_t, standin::RunScript> scriptsByWorker;
+    std::string callerKey; ///< Key that calls carry; that of team "red" at first.
     /** A worker that a run has crashed comes back under another id, at the address that it had. */
     bool changesIdsAfterCrash = false;
     std::map<std::size_t, StoreMode> storeModes; ///< By daemon.
