--- a/src/dispatch/net/job_trace.cpp
+++ b/src/dispatch/net/job_trace.cpp
@@ -59,7 +59,8 @@
 
 bool isAboutWorker(EventKind kind)
 {
-    return kind == EventKind::WorkerLost || kind == EventKind::WorkerRegained || kind == EventKind::WorkerRestarted;
+    return kind == EventKind::WorkerLost || kind == EventKind::WorkerRegained || kind == EventKind::WorkerRestarted
+        || kind == EventKind::WorkerReinstated;
 }
 
 /** Returns true if line `a` of a job's trace comes before line `b`: the acceptance first, then sorted by time. */
