--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,16 +1,11 @@
 #include "net/http_server.h"
 
 #include "core/error.h"
-#include "core/table.h"
-#include "net/coroutine.h"
 #include "net/endpoint.h"
 #include "net/http_error.h"
 #include "net/http_message.h"
+#include "net/http_server_connection.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <fmt/format.h>
-
-#include <optional>
 #include <utility>
 
 namespace flamingotally
@@ -19,84 +14,10 @@
 namespace
 {
 
-constexpr std::size_t readBytes = 4 * 1024; ///< Size of one read.
-constexpr std::size_t maxLingerBytes = 1024 * 1024; ///< Limit of unread data that closeLingering() discards.
-constexpr Milliseconds lingerTimeout{1'000}; ///< Time limit of closeLingering().
 constexpr Milliseconds acceptBackoff{100}; ///< Pause after a failed accept.
 
 using RequestParser = http::request_parser<http::string_body>;
 
-/** Phase of a connection. */
-enum class ConnectionPhase : std::uint8_t {
-    Idle, ///< No byte of the next request has arrived.
-    Receiving,
-    Handling, ///< The handler has received the request and has not responded yet.
-    Sending,
-};
-
-/** A connection of a client. */
-struct Connection {
-    explicit Connection(tcp::socket socket)
-        : stream(std::move(socket)), responseReady(stream.get_executor(), asio::steady_timer::time_point::max()),
-          deadline(stream.get_executor())
-    {
-    }
-
-    beast::tcp_stream stream;
-    beast::flat_buffer buf;
-    asio::steady_timer responseReady; ///< Never expires; cancelled when the handler has set the response.
-    asio::steady_timer deadline; ///< For receiving a request. The stream's own time-out would close the connection.
-    bool isTimedOut = false; ///< The request was not complete at the deadline.
-    std::optional<HttpResponse> response; ///< Response to the current request, once the handler has set it.
-    std::uint64_t requestNumber = 0; ///< Changes with each request, so that late responses to earlier ones are ignored.
-    ConnectionPhase phase = ConnectionPhase::Idle;
-};
-
-struct ConnectionTag;
-using ConnectionTable = Table<ConnectionTag, std::unique_ptr<Connection>>;
-using ConnectionRef = ConnectionTable::RowRef;
-
-/** Makes the error for a request that could not be read completely. */
-HttpError receiveError(const error_code &ec, bool isTimedOut)
-{
-    if (ec == http::error::body_limit || ec == http::error::header_limit) {
-        return {.reason = Reason::RequestTooLarge};
-    }
-    if (isTimedOut) {
-        return {.detail = "The request was not complete within the time limit.",
-                .status = static_cast<unsigned>(http::status::request_timeout)};
-    }
-    return {.detail = fmt::format("The request could not be parsed: {}.", ec.message())};
-}
-
-/** Returns whether the error means that the client has disconnected or the server was closed. */
-bool isDisconnected(const error_code &ec)
-{
-    return ec == http::error::end_of_stream || ec == asio::error::connection_reset
-        || ec == asio::error::operation_aborted || ec == asio::error::broken_pipe;
-}
-
-/**
- * Closes a connection after reading and discarding the rest of its data. Closing with unread data would make the kernel
- * reset the connection, and the client could not read the last response.
- */
-awaitable<void> closeLingering(Connection &connection)
-{
-    error_code ignored;
-    connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    connection.stream.expires_after(lingerTimeout);
-    std::size_t total = 0;
-    while (total < maxLingerBytes) {
-        connection.buf.clear();
-        const auto [ec, n] = co_await connection.stream.async_read_some(connection.buf.prepare(readBytes), useTuple);
-        if (ec) {
-            break;
-        }
-        total += n;
-    }
-    connection.stream.close();
-}
-
 } // namespace
 
 /** State that exists until the last operation on it has ended. */
