--- a/tests/dispatch_capacity_test.cpp
+++ b/tests/dispatch_capacity_test.cpp
@@ -1,7 +1,5 @@
 /** @file dispatch_capacity_test.cpp Tests of entry daemons with workers whose capacity shrinks and grows. */
-#include "fakes/dispatch_world.h"
-
-#include <cppunit/extensions/HelperMacros.h>
+#include "dispatch_fixture.h"
 
 using namespace flamingotally;
 using namespace flamingotally::dispatch;
@@ -10,7 +8,6 @@
 namespace
 {
 
-constexpr Milliseconds settleTime{2'000}; ///< Time within which a first owner exists and has polled the workers.
 constexpr Resources fullCapacity{4'000, 16'384, 0}; ///< Room for four tasks of plainStep().
 
 /** Returns a capacity with room for a number of tasks of plainStep(). */
--- a/tests/dispatch_crash_test.cpp
+++ b/tests/dispatch_crash_test.cpp
@@ -1,7 +1,5 @@
 /** @file dispatch_crash_test.cpp Tests of entry daemons with tasks that crash the workers on which they are started. */
-#include "fakes/dispatch_world.h"
-
-#include <cppunit/extensions/HelperMacros.h>
+#include "dispatch_fixture.h"
 
 using namespace flamingotally;
 using namespace flamingotally::dispatch;
@@ -10,7 +8,6 @@
 namespace
 {
 
-constexpr Milliseconds settleTime{2'000}; ///< Time within which a first owner exists and has polled the workers.
 /** Time within which a task has crashed as many workers as it may, and the last crash is known. */
 constexpr Milliseconds giveUpTime{40'000};
 constexpr std::size_t maxStarts = 3; ///< Starts of a task each of which crashes its worker.
--- a/tests/fakes/dispatch_ports.h
+++ b/tests/fakes/dispatch_ports.h
@@ -247,7 +247,8 @@
         const bool isTooLong = request.workers.size() > maxAdviceWorkers;
         const bool isRelayDead = !request.relay.empty() && !m_world.isAlive(request.relay);
         m_world.requestsToDeadRelays += isRelayDead ? 1 : 0;
-        response.failed = m_world.requestsToFail > 0 || isTooLong || isRelayDead;
+        response.failed = m_world.requestsToFail > 0 || isTooLong || isRelayDead
+            || m_world.jobsWithoutAdvice.contains(request.step.job);
         m_world.requestsToFail -= m_world.requestsToFail > 0 && !isTooLong ? 1 : 0;
         response.sentAt = now();
         const auto refused = m_world.refusedByJob.find(request.step.job);
--- a/tests/fakes/dispatch_world.cpp
+++ b/tests/fakes/dispatch_world.cpp
@@ -52,6 +52,13 @@
     return step;
 }
 
+StepSpec endlessStep(std::uint32_t count)
+{
+    auto step = plainStep(count);
+    step.endless = true;
+    return step;
+}
+
 JobSpec jobOf(std::vector<StepSpec> steps)
 {
     JobSpec spec;
--- a/tests/fakes/dispatch_world.h
+++ b/tests/fakes/dispatch_world.h
@@ -159,6 +159,8 @@
     std::map<std::size_t, StoreMode> storeModes; ///< By daemon.
     std::map<std::size_t, LinkMode> linkModes; ///< By worker.
     std::set<std::size_t> unhealthyWorkers; ///< Workers that refuse all start orders.
+    std::set<dispatch::JobId> jobsWithoutRoom; ///< Workers refuse to start tasks of these jobs, for lack of capacity.
+    std::set<dispatch::JobId> jobsWithoutAdvice; ///< All requests to the policy service about these jobs fail.
     std::map<std::size_t, std::deque<StopFault>> stopFaults; ///< By worker: faults of the next stop orders to it.
     std::map<std::size_t, Milliseconds> tickTimes; ///< How long a tick of a daemon takes, by daemon; else no time.
     /** Workers that a daemon examines in a millisecond of its ticks, by daemon; else it examines any number at once. */
@@ -269,6 +271,9 @@
 /** Returns a step of tasks that each need one core and 1,024 MB. @param after Indexes of the earlier steps. */
 dispatch::StepSpec plainStep(std::uint32_t count, std::vector<std::uint32_t> after = {});
 
+/** Returns a step of such tasks that run until they are cancelled. */
+dispatch::StepSpec endlessStep(std::uint32_t count);
+
 /** Returns a job with the given steps, without repetition. */
 dispatch::JobSpec jobOf(std::vector<dispatch::StepSpec> steps);
 
--- a/tests/fakes/dispatch_world_workers.cpp
+++ b/tests/fakes/dispatch_world_workers.cpp
@@ -68,6 +68,9 @@
     if (isMeant && unhealthyWorkers.contains(n)) {
         return OrderResult::Unhealthy;
     }
+    if (isMeant && jobsWithoutRoom.contains(order.task.job)) {
+        return OrderResult::NoCapacity;
+    }
     return isMeant ? model.start(order, m_queue.now()) : OrderResult::WorkerReplaced;
 }
 
