Begin a lasting gang again after its members have ended done

What callers saw: a gang of a step that lasts was never begun again once a member had ended done; its job was then shown as completed. Tasks that last are owed until the job is cancelled, however they end.

Cause: endMember() completed the gang for any end done, while endSingle() asks whether the step is endless.

Evidence: DispatchRestartTest::restartsAGangThatLastsAfterItIsDone failed before (one start in 6 s); found by looking for what else a run that ends soon does to a lasting step.

Why this mends it: only gangs that end are completed by a member; an endless one goes the way of a failed run, with the same delay after short runs.

--- a/src/dispatch/work_end.cpp
+++ b/src/dispatch/work_end.cpp
@@ -218,10 +218,11 @@
     auto &work = entry.work;
     const auto group = work.tasks.get<TaskIdentity>(task).group;
     const auto tasks = work.groups.get<GroupState>(group).tasks;
-    if (how == RunEnd::Failed && !stepOf(entry, group).endless) {
+    const bool isEndless = stepOf(entry, group).endless;
+    if (how == RunEnd::Failed && !isEndless) {
         countGangFailure(entry, group, number, time);
     }
-    if (how == RunEnd::Done) {
+    if (how == RunEnd::Done && !isEndless) {
         completeGang(entry, group, time);
     }
     for (const auto it : tasks) {
--- a/tests/dispatch_restart_test.cpp
+++ b/tests/dispatch_restart_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(restartsATaskAtOnceAfterALongRun);
     CPPUNIT_TEST(remembersShortRunsWhenTheOwnerChanges);
     CPPUNIT_TEST(jobThatTurnsSoundRunsInFull);
+    CPPUNIT_TEST(restartsAGangThatLastsAfterItIsDone);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -95,6 +96,19 @@
         }
         assertNoViolations(world);
     }
+
+    /** A gang whose members had ended done was never begun again, though its step lasts until it is cancelled. */
+    void restartsAGangThatLastsAfterItIsDone()
+    {
+        FaultyWorld world;
+        auto step = endlessStep(2);
+        step.gang = true;
+        world.submitScripted(job, step, {Milliseconds{1'000}, RunEnd::Done});
+        world.run(Milliseconds{6'000});
+        CPPUNIT_ASSERT(world.startsOf(firstTask) >= 3);
+        CPPUNIT_ASSERT(world.phaseAt(0, job) == JobPhase::Running);
+        assertNoViolations(world);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchRestartTest);
