Reserve no worker for a task for which tasks that last leave no room there

Cause: for each large task that waits, a pass reserves the worker that is closest to having room, and asks only whether the task would fit on it empty. What a lasting task uses does not become free, so the reservation is made anew in each pass and holds the rest of the worker for nothing.

Evidence: DispatchSharedRoomTest::reservesNoWorkerThatIsHeldByTasksThatLast failed before, 0 of 30 small jobs completed. Its twin, a large task that is placed among small ones that end, held before and holds now.

Why this mends it: a worker is reserved only if the task fits beside the endless runs there, so that the ends of the others will make room.

--- a/src/dispatch/policy/capacity_reservation.h
+++ b/src/dispatch/policy/capacity_reservation.h
@@ -134,14 +134,15 @@
         }
     }
 
-    /** Returns true if a task is large on a worker that could run it once enough capacity is free. */
+    /** Returns true if a task is large on a worker that could run it once the runs there that end have ended. */
     bool mayReserveForLargeTask(WorkerRef worker) const
     {
         if (!m_evaluation.isEligible(worker)) {
             return false;
         }
         const auto &capacity = m_entry.workers.table.get<WorkerIdentity>(worker).capacity;
-        return isLargeOn(capacity) && m_evaluation.demand().fitsInto(capacity)
+        const auto attainable = capacity - m_entry.workers.table.get<WorkerLoad>(worker).usedByEndless;
+        return isLargeOn(capacity) && m_evaluation.demand().fitsInto(attainable)
             && m_evaluation.reservedOn(worker) == Resources{} && m_evaluation.isBelowWorkerLimit(worker);
     }
 
--- a/src/dispatch/work.cpp
+++ b/src/dispatch/work.cpp
@@ -291,6 +291,7 @@
     state.lastRun = number;
     auto &load = entry.workers.table.get<WorkerLoad>(worker);
     load.used += run.reservedOnWorker;
+    load.usedByEndless += step.endless ? run.reservedOnWorker : Resources{};
     load.latencyBoundRuns += step.targetResponse.count() > 0 ? 1 : 0;
     load.bestEffortRuns += step.bestEffort ? 1 : 0;
     load.placedAt = time.now;
--- a/src/dispatch/work_end.cpp
+++ b/src/dispatch/work_end.cpp
@@ -56,6 +56,7 @@
     const auto &step = stepOf(entry, group);
     auto &load = entry.workers.table.get<WorkerLoad>(identity.worker);
     load.used -= state.reservedOnWorker;
+    load.usedByEndless -= step.endless ? state.reservedOnWorker : Resources{};
     load.latencyBoundRuns -= step.targetResponse.count() > 0 ? 1 : 0;
     load.bestEffortRuns -= step.bestEffort ? 1 : 0;
     std::erase(load.runs, run);
--- a/src/dispatch/worker_base.h
+++ b/src/dispatch/worker_base.h
@@ -31,6 +31,7 @@
 /** Capacity of a worker that is used or reserved. */
 struct WorkerLoad {
     Resources used; ///< Used by its runs.
+    Resources usedByEndless; ///< The part of `used` that runs of endless steps use; it does not become free by itself.
     Resources reserved; ///< Reserved in the pass `reservedInPass` for groups that are placed first.
     std::uint64_t reservedInPass = 0; ///< Number of the pass; reservations of earlier passes are void.
     std::uint32_t latencyBoundRuns = 0; ///< Runs with a bound on their response times.
--- /dev/null
+++ b/tests/dispatch_shared_room_test.cpp
@@ -0,0 +1,60 @@
+/**
+ * @file dispatch_shared_room_test.cpp Tests that what one job cannot use, or what is refused to it, is not kept from
+ * all other jobs: reserved workers, workers and relays that have refused it something.
+ */
+#include "faulty_world.h"
+
+using namespace flamingotally;
+using namespace flamingotally::dispatch;
+using namespace flamingotally::fakes;
+
+class DispatchSharedRoomTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DispatchSharedRoomTest);
+    CPPUNIT_TEST(reservesNoWorkerThatIsHeldByTasksThatLast);
+    CPPUNIT_TEST(reservesAWorkerWhoseRunsWillEnd);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Large tasks had all workers reserved beside which tasks that last leave them no room for good. */
+    void reservesNoWorkerThatIsHeldByTasksThatLast()
+    {
+        FaultyWorld world;
+        constexpr JobId firstLarge = 100;
+        submitLasting(world, 1, FaultyWorld::workers, 1'500);
+        world.run(Milliseconds{1'000});
+        submitLasting(world, firstLarge, FaultyWorld::workers, 3'000);
+        world.run(Milliseconds{1'000});
+        CPPUNIT_ASSERT(!world.runningOn({firstLarge, 0, 0, 0}).has_value());
+        world.assertSoundJobsComplete();
+    }
+
+    /** Small tasks that come all the time must not keep a large one from ever having room. */
+    void reservesAWorkerWhoseRunsWillEnd()
+    {
+        FaultyWorld world;
+        world.defaultScript.work = Milliseconds{600};
+        for (JobId id = FaultyWorld::firstSound; id < FaultyWorld::firstSound + 200; ++id) {
+            world.submit(0, id, jobOf({plainStep(2)}));
+            if (id == FaultyWorld::firstSound + 50) {
+                submitLasting(world, 1, 1, 4'000);
+            }
+            world.run(Milliseconds{40});
+        }
+        CPPUNIT_ASSERT(world.runningOn({1, 0, 0, 0}).has_value());
+        assertNoViolations(world);
+    }
+
+private:
+    /** Submits jobs of one task that lasts. @param cpuMilli Processor time that a task needs. */
+    static void submitLasting(FaultyWorld &world, JobId first, JobId count, std::int64_t cpuMilli)
+    {
+        auto step = endlessStep(1);
+        step.perTask.cpuMilli = cpuMilli;
+        for (JobId id = first; id < first + count; ++id) {
+            world.submitScripted(id, step, {Milliseconds{600'000}, RunEnd::Done});
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatchSharedRoomTest);
