Keep no worker for itself for a task that keeps ending by itself

A task that was once suspected of a crash has its worker for itself for 0.5 s at each start. Lasting tasks under suspicion that fail at once are begun again every 4 s at the latest, so that many of them hold most workers, whatever room these have.

Cause: the exclusive start is bounded for one task by the crash count, which fails its job, but not for a task that fails without crashing anything.

Evidence: DispatchSharedRoomTest::failingTasksSuspectedOfCrashesLeaveWorkersToOthers failed before: with 128 such tasks on 8 workers, more than half of the workers were exclusive in 93 of 100 looks; none now.

Why this mends it: such a task, one that waits between its short runs, is started like any other. Its count of crashes stays, as does the exclusive start of all others, so that a task that crashes its workers is found as before.

--- a/src/dispatch/work.cpp
+++ b/src/dispatch/work.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/work_func.h"
 
 #include "dispatch/entry_func.h"
+#include "dispatch/restart_func.h"
 #include "dispatch/work_step.h"
 
 #include <algorithm>
@@ -296,7 +297,8 @@
     load.bestEffortRuns += step.bestEffort ? 1 : 0;
     load.placedAt = time.now;
     load.runs.push_back(ref);
-    if (state.crashWeight > 0) {
+    // a task that keeps ending by itself has crashed nothing lately, and is begun too often to keep workers from others
+    if (state.crashWeight > 0 && !(step.endless && restartDelay(state.failures) > Milliseconds{0})) {
         entry.workers.table.get<WorkerHealth>(worker).exclusiveUntil = time.now + exclusivePeriod;
     }
     const auto job = work.groups.get<GroupIdentity>(group).job;
--- a/tests/dispatch_shared_room_test.cpp
+++ b/tests/dispatch_shared_room_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(DispatchSharedRoomTest);
     CPPUNIT_TEST(reservesNoWorkerThatIsHeldByTasksThatLast);
     CPPUNIT_TEST(reservesAWorkerWhoseRunsWillEnd);
+    CPPUNIT_TEST(failingTasksSuspectedOfCrashesLeaveWorkersToOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -45,6 +46,27 @@
         assertNoViolations(world);
     }
 
+    /** Each start of a task that is suspected of a crash keeps other tasks from its worker for a while. */
+    void failingTasksSuspectedOfCrashesLeaveWorkersToOthers()
+    {
+        constexpr std::uint32_t tasks = 4 * FaultyWorld::tasksOfCell;
+        FaultyWorld world;
+        world.submitScripted(FaultyWorld::hopeless, endlessStep(tasks), failingRun);
+        world.run(Milliseconds{500});
+        auto &states = world.entry(world.owner().value()).work.tasks;
+        states.forEach([&](TaskRef it) { states.get<TaskState>(it).crashWeight = 1; });
+        world.run(Milliseconds{8'000});
+        std::size_t blocked = 0;
+        for (int n = 0; n < 100; ++n) {
+            world.run(Milliseconds{50});
+            const auto exclusive = world.countWorkers(
+                [&](const WorkerHealth &it) { return it.exclusiveUntil.time_since_epoch() > world.now(); });
+            blocked += exclusive > FaultyWorld::workers / 2 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, blocked);
+        world.assertSoundJobsComplete();
+    }
+
 private:
     /** Submits jobs of one task that lasts. @param cpuMilli Processor time that a task needs. */
     static void submitLasting(FaultyWorld &world, JobId first, JobId count, std::int64_t cpuMilli)
