Bound the workers that refused starts keep from other jobs

What callers saw: nothing on the deployments in force, whose workers start what they are told to; found by looking for the class of the faulty steps. A start that a worker refuses for lack of capacity keeps all tasks from it for 0.3 s. Jobs whose starts are refused everywhere held most workers that way.

Cause: the refusal says that this task has no room, and was taken to say that none has.

Evidence: DispatchSharedRoomTest::refusedStartsOfOneJobLeaveWorkersToOthers failed before: with three such jobs of 32 tasks more than a quarter of 8 workers were avoided in 68 of 100 looks; none now.

Why this mends it: the bound of a quarter of a pool, which suspended workers already had, now holds for refusals and suspensions together (pool_share.h). Beyond it the refused task waits in place of the worker, so that it is not sent round without a pause.

--- a/src/dispatch/fault.cpp
+++ b/src/dispatch/fault.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/fault_func.h"
 
 #include "dispatch/entry_func.h"
+#include "dispatch/policy/pool_share.h"
 #include "dispatch/work_func.h"
 
 #include <algorithm>
@@ -16,8 +17,6 @@
 constexpr std::size_t workersOfFaultyStep = 2;
 constexpr std::size_t maxWorkersOfGroup = 16; ///< Workers remembered of a group; faults on further ones show no more.
 constexpr std::size_t maxFaultsOfWorker = 8; ///< Faults remembered of a worker; the oldest one is forgotten first.
-/** At most one in this many workers of a pool is suspended at the same time, so that no evidence closes a pool. */
-constexpr std::size_t suspensionDivisor = 4;
 constexpr Milliseconds progressPeriod{1'500}; ///< A run that made progress within this period does not stall.
 
 /** Returns how many tasks of a group show that its step can run: they are done, or their runs are sound. */
@@ -36,23 +35,6 @@
     return state.done + static_cast<std::size_t>(std::ranges::count_if(state.tasks, hasSoundRun));
 }
 
-/** Returns true if one more worker of a worker's pool may be suspended. */
-bool maySuspend(const Entry &entry, WorkerRef worker, const TickTime &time)
-{
-    const auto &pool = entry.workers.table.get<WorkerIdentity>(worker).pool;
-    std::size_t usable = 0;
-    std::size_t suspended = 0;
-    entry.workers.table.forEach([&](WorkerRef it) {
-        const auto &health = entry.workers.table.get<WorkerHealth>(it);
-        const auto &link = entry.workers.table.get<WorkerLink>(it);
-        const bool isUsable = health.listed && !health.draining && link.hasResponded && link.missedPolls == 0
-            && entry.workers.table.get<WorkerIdentity>(it).pool == pool;
-        usable += isUsable ? 1 : 0;
-        suspended += isUsable && time.now < health.suspendedUntil ? 1 : 0;
-    });
-    return usable > 1 && suspended < std::max<std::size_t>(1, usable / suspensionDivisor);
-}
-
 std::size_t countFaults(const WorkerHealth &health, FaultKind kind)
 {
     return static_cast<std::size_t>(std::ranges::count(health.faults, kind, &WorkerFault::kind));
@@ -80,7 +62,7 @@
     if (countFaults(health, faulty.kind) < row.neededToSuspend) {
         return;
     }
-    if (!isSuspended && !maySuspend(entry, faulty.worker, time)) {
+    if (!isSuspended && !mayKeepFromTasks(entry, faulty.worker, time)) {
         ++entry.counters.suspensionsOverLimit;
         return;
     }
--- a/src/dispatch/systems/order_response.cpp
+++ b/src/dispatch/systems/order_response.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/entry_func.h"
 #include "dispatch/policy/order_pacing.h"
+#include "dispatch/policy/pool_share.h"
 #include "dispatch/systems/response_pause.h"
 #include "dispatch/systems/systems.h"
 #include "dispatch/table/dispatch_table.h"
@@ -50,7 +51,11 @@
     if (result == OrderResult::Superseded) {
         task.lastRun += runNumberSkip;
     } else if (result == OrderResult::NoCapacity) {
-        health.avoidUntil = std::max(health.avoidUntil, time.now + fullPause);
+        if (time.now < health.avoidUntil || mayKeepFromTasks(entry, identity.worker, time)) {
+            health.avoidUntil = std::max(health.avoidUntil, time.now + fullPause);
+        } else {
+            task.readyAt = time.now + fullPause; // it is refused on many workers, which others may still use
+        }
     } else if (result == OrderResult::NoTicket) {
         forgetTicket(entry.work.groups.get<GroupAdvice>(group), identity.worker);
     } else if (result == OrderResult::Unhealthy) {
--- a/tests/dispatch_shared_room_test.cpp
+++ b/tests/dispatch_shared_room_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(DispatchSharedRoomTest);
     CPPUNIT_TEST(reservesNoWorkerThatIsHeldByTasksThatLast);
     CPPUNIT_TEST(reservesAWorkerWhoseRunsWillEnd);
+    CPPUNIT_TEST(refusedStartsOfOneJobLeaveWorkersToOthers);
     CPPUNIT_TEST(failingTasksSuspectedOfCrashesLeaveWorkersToOthers);
     CPPUNIT_TEST_SUITE_END();
 
@@ -46,6 +47,26 @@
         assertNoViolations(world);
     }
 
+    /** A start that a worker refuses for lack of capacity keeps all tasks from that worker for a while. */
+    void refusedStartsOfOneJobLeaveWorkersToOthers()
+    {
+        FaultyWorld world;
+        world.jobsWithoutRoom = {1, 2, 3};
+        for (const auto id : world.jobsWithoutRoom) {
+            world.submit(0, id, jobOf({endlessStep(FaultyWorld::tasksOfCell)}));
+        }
+        world.run(Milliseconds{1'000});
+        std::size_t blocked = 0;
+        for (int n = 0; n < 100; ++n) {
+            world.run(Milliseconds{20});
+            const auto avoided = world.countWorkers(
+                [&](const WorkerHealth &it) { return it.avoidUntil.time_since_epoch() > world.now(); });
+            blocked += avoided > FaultyWorld::workers / 4 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, blocked);
+        world.assertSoundJobsComplete();
+    }
+
     /** Each start of a task that is suspected of a crash keeps other tasks from its worker for a while. */
     void failingTasksSuspectedOfCrashesLeaveWorkersToOthers()
     {
