Pause a step whose requests to the policy service fail, not one relay after another

A failed request pauses its relay for 3 s.

Cause: the failure is charged to the relay, whatever request it was of.

Why this mends it: from a group's second failure in a row on, by whatever relays, the group is paused, for 0.3 s, and the relay is not. The log line names the job and what is paused.

--- a/src/dispatch/systems/advice.cpp
+++ b/src/dispatch/systems/advice.cpp
@@ -24,6 +24,9 @@
 /** Added to the time that the service is expected to take; the sum is the time-out. */
 constexpr Milliseconds responseSlack{500};
 constexpr Milliseconds relayPause{3'000}; ///< A relay gets no requests for this long after a failure.
+/** After this many consecutive failures, by whatever relays, the cause is taken to be the group and not the relays. */
+constexpr std::uint32_t failuresOfGroup = 2;
+constexpr Milliseconds failingGroupPause{300}; ///< Pause of such a group before its next request.
 /** Workers whose tickets are renewed in addition to one for each waiting task of the group. */
 constexpr std::size_t spareWorkers = 4;
 
@@ -304,6 +307,27 @@
     }
 }
 
+/** Pauses the relay of a request that failed, or the request's group if its requests fail again and again. */
+void handleFailure(Entry &entry, const PendingAdvice &request, const TickTime &time)
+{
+    auto &advice = entry.work.groups.get<GroupAdvice>(request.group);
+    const bool isOfGroup = ++advice.failedInRow >= failuresOfGroup;
+    if (isOfGroup) {
+        advice.searchAt = time.now + failingGroupPause;
+    } else {
+        entry.advice.relays[request.relay].avoidUntil = time.now + relayPause;
+    }
+    const auto job = entry.work.groups.get<GroupIdentity>(request.group).job;
+    logEvent(entry,
+             EventKind::AdviceFailed,
+             entry.jobs.table.get<JobIdentity>(job).id,
+             "relay={} workers={} failed_in_row={} pauses={}",
+             request.relay,
+             request.workers.size(),
+             advice.failedInRow,
+             isOfGroup ? "step" : "relay");
+}
+
 } // namespace
 
 void adviceResponseSystem(Entry &entry, const TickTime &time)
@@ -329,10 +353,10 @@
         advice.respondedAt = time.now;
         relay.lastSucceeded = !response.failed;
         if (response.failed) {
-            relay.avoidUntil = time.now + relayPause;
-            logEvent(entry, EventKind::AdviceFailed, 0, "relay={} workers={}", request.relay, request.workers.size());
+            handleFailure(entry, request, time);
             continue;
         }
+        advice.failedInRow = 0;
         storeTickets(entry, request, response);
     }
 }
--- a/src/dispatch/work_base.h
+++ b/src/dispatch/work_base.h
@@ -94,6 +94,7 @@
     MonotonicTime validUntil{}; ///< No ticket is valid after this time.
     std::uint64_t pendingNumber = 0; ///< Number of the request in flight; zero for none.
     std::uint32_t requestCount = 0; ///< Number of requests sent for the group.
+    std::uint32_t failedInRow = 0; ///< Consecutive requests for the group that failed.
     bool isQueued = false; ///< The group is in AdviceState::backlog.
     MonotonicTime respondedAt{}; ///< When the last response arrived; zero before.
     Milliseconds timeWithoutTickets{0}; ///< How long the group was open without a valid ticket, until `respondedAt`.
--- a/tests/dispatch_shared_room_test.cpp
+++ b/tests/dispatch_shared_room_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(reservesAWorkerWhoseRunsWillEnd);
     CPPUNIT_TEST(refusedStartsOfOneJobLeaveWorkersToOthers);
     CPPUNIT_TEST(failingTasksSuspectedOfCrashesLeaveWorkersToOthers);
+    CPPUNIT_TEST(failingRequestsOfSomeJobsLeaveRelaysToOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -88,6 +89,22 @@
         world.assertSoundJobsComplete();
     }
 
+    /** A request that fails kept the requests of all jobs from its relay, also if those of its own job always fail. */
+    void failingRequestsOfSomeJobsLeaveRelaysToOthers()
+    {
+        FaultyWorld world;
+        auto next = world.configuration;
+        next.queues[0].policy.advice = {true, 10, 1, Milliseconds{1'500}};
+        world.publish(next);
+        world.run(settleTime);
+        for (JobId id = 1; id <= 8; ++id) {
+            world.jobsWithoutAdvice.insert(id);
+            world.submit(0, id, jobOf({endlessStep(1)}));
+        }
+        world.run(Milliseconds{5'000});
+        world.assertSoundJobsComplete();
+    }
+
 private:
     /** Submits jobs of one task that lasts. @param cpuMilli Processor time that a task needs. */
     static void submitLasting(FaultyWorld &world, JobId first, JobId count, std::int64_t cpuMilli)
