--- a/tests/dispatch_faulty_step_test.cpp
+++ b/tests/dispatch_faulty_step_test.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST(jobThatLastsAndIsDoneAtOnceLeavesWorkersToOthers);
     CPPUNIT_TEST(gangsThatLastAndFailLeaveWorkersToOthers);
     CPPUNIT_TEST(severalFailingJobsLeaveWorkersToOthers);
+    CPPUNIT_TEST(failingJobLeavesTheLimitOfItsTeamToOthers);
+    CPPUNIT_TEST(failingJobsOfAllTeamsLeaveWorkersToOthers);
     CPPUNIT_TEST(failingJobsOfManyTasksLeaveWorkersToOthers);
     CPPUNIT_TEST(failingJobsOfOneTaskLeaveWorkersToOthers);
     CPPUNIT_TEST(stalledJobLeavesWorkersToOthers);
@@ -68,6 +70,39 @@
         world.assertSoundJobsComplete();
     }
 
+    /** The failing job takes all that its team may use, until its tasks wait between their runs. */
+    void failingJobLeavesTheLimitOfItsTeamToOthers()
+    {
+        FaultyWorld world;
+        auto next = world.configuration;
+        for (auto &team : next.teams) {
+            team.limit = {8'000, 0, 0};
+        }
+        world.publish(next);
+        world.callerKey = "blue key";
+        world.run(settleTime);
+        world.submitScripted(FaultyWorld::hopeless, endlessStep(FaultyWorld::tasksOfCell), failingRun);
+        world.assertSoundJobsComplete();
+    }
+
+    /** Gangs and single tasks that last, and jobs that end, of both teams. */
+    void failingJobsOfAllTeamsLeaveWorkersToOthers()
+    {
+        FaultyWorld world;
+        auto gang = endlessStep(FaultyWorld::workers);
+        gang.gang = true;
+        JobId id = FaultyWorld::hopeless;
+        for (const auto *key : {"red key", "blue key"}) {
+            world.callerKey = key;
+            for (const auto &step :
+                 {endlessStep(FaultyWorld::tasksOfCell), gang, plainStep(FaultyWorld::tasksOfCell)}) {
+                world.submitScripted(id++, step, failingRun);
+                world.submitScripted(id++, step, failingRun);
+            }
+        }
+        world.assertSoundJobsComplete();
+    }
+
     /** Jobs that end, but have many tasks, which fail twice each. */
     void failingJobsOfManyTasksLeaveWorkersToOthers()
     {
