Name healthy runs, and ask in one place whether a worker is kept from tasks

The rule that a worker gets no tasks because of faults or refusals stood in three places; it is now WorkerHealth::isKeptFromTasks(). Runs that show nothing wrong are called healthy, the usual term.

--- a/src/dispatch/fault.cpp
+++ b/src/dispatch/fault.cpp
@@ -13,26 +13,26 @@
 namespace
 {
 
-/** Runs with faults on this many workers show a faulty step, unless as many of its runs are sound. */
+/** Runs with faults on this many workers show a faulty step, unless as many of its runs are healthy. */
 constexpr std::size_t workersOfFaultyStep = 2;
 constexpr std::size_t maxWorkersOfGroup = 16; ///< Workers remembered of a group; faults on further ones show no more.
 constexpr std::size_t maxFaultsOfWorker = 8; ///< Faults remembered of a worker; the oldest one is forgotten first.
 constexpr Milliseconds progressPeriod{1'500}; ///< A run that made progress within this period does not stall.
 
-/** Returns how many tasks of a group show that its step can run: they are done, or their runs are sound. */
-std::size_t countSound(const Entry &entry, GroupRef group, FaultKind kind, const TickTime &time)
+/** Returns how many tasks of a group show that its step can run: they are done, or their runs are healthy. */
+std::size_t countHealthy(const Entry &entry, GroupRef group, FaultKind kind, const TickTime &time)
 {
     const auto &state = entry.work.groups.get<GroupState>(group);
-    const auto hasSoundRun = [&](TaskRef task) {
+    const auto hasHealthyRun = [&](TaskRef task) {
         const auto run = entry.work.tasks.get<TaskState>(task).run;
         if (!run.isSet()) {
             return false;
         }
         const auto &it = entry.work.runs.get<RunState>(run);
         const bool isProgressing = it.percent > 0 && time.now - it.progressAt < progressPeriod;
-        return it.isSound || (kind == FaultKind::Stalled && isProgressing);
+        return it.isHealthy || (kind == FaultKind::Stalled && isProgressing);
     };
-    return state.done + static_cast<std::size_t>(std::ranges::count_if(state.tasks, hasSoundRun));
+    return state.done + static_cast<std::size_t>(std::ranges::count_if(state.tasks, hasHealthyRun));
 }
 
 std::size_t countFaults(const WorkerHealth &health, FaultKind kind)
@@ -135,7 +135,7 @@
     if (const auto it = std::ranges::find(faults.workers, identity.worker, &FaultyWorker::worker);
         it != faults.workers.end()) {
         *it = faulty;
-        if (faults.workers.size() == 1 && countSound(entry, group, kind, time) > 0) {
+        if (faults.workers.size() == 1 && countHealthy(entry, group, kind, time) > 0) {
             blameWorker(entry, faulty, group, time); // its runs have faults here only
         }
         return;
@@ -147,14 +147,15 @@
     if (faults.isStepAtFault) {
         return;
     }
-    if (faults.workers.size() >= workersOfFaultyStep && faults.workers.size() > countSound(entry, group, kind, time)) {
+    if (faults.workers.size() >= workersOfFaultyStep
+        && faults.workers.size() > countHealthy(entry, group, kind, time)) {
         blameStep(entry, group, time);
     } else {
         blameWorker(entry, faulty, group, time);
     }
 }
 
-void recordSoundRun(Entry &entry, RunRef run, const TickTime &time)
+void recordHealthyRun(Entry &entry, RunRef run, const TickTime &time)
 {
     const auto identity = entry.work.runs.get<RunIdentity>(run);
     const auto group = entry.work.tasks.get<TaskIdentity>(identity.task).group;
--- a/src/dispatch/fault_func.h
+++ b/src/dispatch/fault_func.h
@@ -14,10 +14,10 @@
 void recordFault(Entry &entry, RunRef run, FaultKind kind, const TickTime &time);
 
 /**
- * Records that a run was sound: it was done, or has lasted long enough if its step is endless. That clears its worker,
- * and shows that recent faults of other runs of the step were those of their workers.
+ * Records that a run was healthy: it was done, or has lasted long enough if its step is endless. That clears its
+ * worker, and shows that recent faults of other runs of the step were those of their workers.
  */
-void recordSoundRun(Entry &entry, RunRef run, const TickTime &time);
+void recordHealthyRun(Entry &entry, RunRef run, const TickTime &time);
 
 /** Returns true if a step is to blame for the faults of its runs, as they come on several workers. */
 bool isStepAtFault(const Entry &entry, GroupRef group);
--- a/src/dispatch/policy/pass_workers.h
+++ b/src/dispatch/policy/pass_workers.h
@@ -8,16 +8,17 @@
 namespace flamingotally::dispatch
 {
 
-/** Returns true if a worker is listed and responds, is neither draining, suspended nor avoided, and its domain is in
- * service. */
+/**
+ * Returns true if a worker is listed and responds, is neither draining nor kept from tasks, and its domain is in
+ * service.
+ */
 inline bool acceptsTasks(const Entry &entry, WorkerRef worker, const TickTime &time)
 {
     constexpr Milliseconds responseAgeLimit{1'900}; // workers whose last response is older get no tasks
     const auto &health = entry.workers.table.get<WorkerHealth>(worker);
     const auto &link = entry.workers.table.get<WorkerLink>(worker);
     if (!health.listed || health.draining || !link.hasResponded || link.missedPolls > 0
-        || time.now < std::max(health.avoidUntil, health.suspendedUntil)
-        || time.now - link.lastResponseAt > responseAgeLimit) {
+        || health.isKeptFromTasks(time.now) || time.now - link.lastResponseAt > responseAgeLimit) {
         return false;
     }
     const auto &out = entry.config.domainsOut;
--- a/src/dispatch/policy/pool_share.h
+++ b/src/dispatch/policy/pool_share.h
@@ -1,5 +1,4 @@
-/** @file pool_share.h Bounds the part of a pool that may be kept from tasks because of what its runs or starts have
- * met. */
+/** @file pool_share.h Bounds the part of a pool that faults of runs and refused starts may keep from tasks. */
 #pragma once
 
 #include "dispatch/entry_base.h"
@@ -11,7 +10,7 @@
 
 /**
  * Returns true if one more worker of a worker's pool may be kept from tasks: fewer than a quarter of those that could
- * be used are suspended or avoided. Whatever one job meets, the others have most of the pool.
+ * be used are. So most of the pool is left to other jobs, whatever the runs of one job do.
  */
 inline bool mayKeepFromTasks(const Entry &entry, WorkerRef worker, const TickTime &time)
 {
@@ -25,7 +24,7 @@
         const bool isUsable = health.listed && !health.draining && link.hasResponded && link.missedPolls == 0
             && entry.workers.table.get<WorkerIdentity>(it).pool == pool;
         usable += isUsable ? 1 : 0;
-        kept += isUsable && time.now < std::max(health.suspendedUntil, health.avoidUntil) ? 1 : 0;
+        kept += isUsable && health.isKeptFromTasks(time.now) ? 1 : 0;
     });
     return usable > 1 && kept < std::max<std::size_t>(1, usable / poolDivisor);
 }
--- a/src/dispatch/policy/worker_search.h
+++ b/src/dispatch/policy/worker_search.h
@@ -77,13 +77,13 @@
         it.wouldInterfere = (m_evaluation.step().bestEffort && load.latencyBoundRuns > 0)
             || (m_evaluation.step().targetResponse.count() > 0 && load.bestEffortRuns > 0);
         it.hasRecentStart = task.crashWeight > 0 && m_evaluation.now() - load.placedAt < quietPeriod;
-        it.faults = std::min(m_entry.workers.table.get<WorkerHealth>(worker).faults.size(), maxFaultsScored);
+        it.faults = std::min(m_entry.workers.table.get<WorkerHealth>(worker).faults.size(), maxFaults);
         return it;
     }
 
     /** A worker on which nothing was placed for this long is preferred for a task suspected of a crash. */
     static constexpr Milliseconds quietPeriod{500};
-    static constexpr std::size_t maxFaultsScored = 3; ///< Further faults of a worker do not change its score.
+    static constexpr std::size_t maxFaults = 3; ///< Further faults of a worker do not make it rank lower.
 
     Entry &m_entry;
     const WorkerEvaluation &m_evaluation;
--- a/src/dispatch/restart.cpp
+++ b/src/dispatch/restart.cpp
@@ -118,8 +118,8 @@
 void recordLongRun(Entry &entry, RunRef run, const TickTime &time)
 {
     const auto task = entry.work.runs.get<RunIdentity>(run).task;
-    entry.work.runs.get<RunState>(run).isSound = true;
-    recordSoundRun(entry, run, time);
+    entry.work.runs.get<RunState>(run).isHealthy = true;
+    recordHealthyRun(entry, run, time);
     entry.work.groups.get<GroupState>(groupOf(entry, run)).failures = 0;
     if (entry.work.tasks.get<TaskState>(task).failures > 0) {
         forEachMember(entry, task, [](TaskState &it) { it.failures = 0; });
--- a/src/dispatch/systems/load_report.cpp
+++ b/src/dispatch/systems/load_report.cpp
@@ -5,7 +5,6 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <iterator>
 
 namespace flamingotally::dispatch
@@ -39,7 +38,7 @@
     std::size_t n = 0;
     entry.workers.table.forEach([&](WorkerRef worker) {
         const auto &health = entry.workers.table.get<WorkerHealth>(worker);
-        n += health.listed && time.now < std::max(health.avoidUntil, health.suspendedUntil) ? 1 : 0;
+        n += health.listed && health.isKeptFromTasks(time.now) ? 1 : 0;
     });
     return n;
 }
--- a/src/dispatch/systems/order_response.cpp
+++ b/src/dispatch/systems/order_response.cpp
@@ -54,7 +54,7 @@
         if (time.now < health.avoidUntil || mayKeepFromTasks(entry, identity.worker, time)) {
             health.avoidUntil = std::max(health.avoidUntil, time.now + fullPause);
         } else {
-            task.readyAt = time.now + fullPause; // it is refused on many workers, which others may still use
+            task.readyAt = time.now + fullPause; // many workers refuse starts already; the rest is left to other tasks
         }
     } else if (result == OrderResult::NoTicket) {
         forgetTicket(entry.work.groups.get<GroupAdvice>(group), identity.worker);
--- a/src/dispatch/systems/worker_report.cpp
+++ b/src/dispatch/systems/worker_report.cpp
@@ -38,7 +38,7 @@
 {
     const bool isEndless = stepOf(entry, groupOf(entry, run)).endless;
     if (how == RunEnd::Done && !isEndless) {
-        recordSoundRun(entry, run, time);
+        recordHealthyRun(entry, run, time);
     } else if (isOwnEnd(how) && !(isEndless && isLongRun(entry, run, time.now))) {
         recordFault(entry, run, FaultKind::Failed, time);
     }
@@ -164,7 +164,7 @@
             entry.work.tasks.get<TaskState>(entry.work.runs.get<RunIdentity>(run).task).checkpoint = row.checkpoint;
         }
         const bool isEndless = stepOf(entry, groupOf(entry, run)).endless;
-        if (isEndless && !state.isSound && isLongRun(entry, run, response.receivedAt)) {
+        if (isEndless && !state.isHealthy && isLongRun(entry, run, response.receivedAt)) {
             recordLongRun(entry, run, time);
         }
         if (isStalled(entry, run, response.receivedAt)) {
--- a/src/dispatch/work.cpp
+++ b/src/dispatch/work.cpp
@@ -297,7 +297,7 @@
     load.bestEffortRuns += step.bestEffort ? 1 : 0;
     load.placedAt = time.now;
     load.runs.push_back(ref);
-    // a task that keeps ending by itself has crashed nothing lately, and is begun too often to keep workers from others
+    // a task with many short runs in a row ends by itself, and is begun too often to have workers for itself
     if (state.crashWeight > 0 && !(step.endless && restartDelay(state.failures) > Milliseconds{0})) {
         entry.workers.table.get<WorkerHealth>(worker).exclusiveUntil = time.now + exclusivePeriod;
     }
--- a/src/dispatch/work_base.h
+++ b/src/dispatch/work_base.h
@@ -105,7 +105,7 @@
 
 /** Faults of the runs of a group; fault.cpp decides by them whether its step or its workers are to blame. */
 struct GroupFaults {
-    std::vector<FaultyWorker> workers; ///< Workers on which runs had faults since the last sound one, each once.
+    std::vector<FaultyWorker> workers; ///< Workers on which runs had faults since the last healthy one, each once.
     bool isStepAtFault = false; ///< The step is to blame for them.
     Milliseconds loggedDelay{0}; ///< Longest delay of a restart that was logged.
 };
@@ -165,7 +165,7 @@
     Resources chargedToTeam; ///< Resources that the run adds to Work::teamUse.
     std::uint32_t percent = 0; ///< Percentage of the work that is done, as last reported.
     MonotonicTime progressAt{}; ///< When the reported percentage last changed.
-    bool isSound = false; ///< Run of an endless task that has lasted for long; see recordLongRun().
+    bool isHealthy = false; ///< Run of an endless task that has lasted for long; see recordLongRun().
 };
 
 using RunTable = Table<RunTag, RunIdentity, RunState>;
--- a/src/dispatch/worker_base.h
+++ b/src/dispatch/worker_base.h
@@ -9,6 +9,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <string>
@@ -45,13 +46,19 @@
     bool listed = false; ///< The worker is in the list of workers.
     bool draining = false; ///< The worker will be removed and gets no more tasks.
     MonotonicTime earliestRemovalAt{}; ///< While draining: the worker is not removed before this time.
-    std::vector<WorkerFault> faults; ///< Faults for which it may be to blame, since its last sound run, oldest first.
+    std::vector<WorkerFault> faults; ///< Faults for which it may be to blame, since its last healthy run, oldest first.
     MonotonicTime suspendedUntil{}; ///< The worker gets no tasks before this time, because of `faults`.
     FaultKind suspendedFor = FaultKind::Failed; ///< Kind of the faults because of which it was last suspended.
     MonotonicTime avoidUntil{}; ///< The worker gets no tasks before this time, as it has refused a start.
     std::uint64_t acceptsInPass = 0; ///< Number of the last placement pass in which the worker accepted tasks.
     /** The worker gets no tasks before this time, so that a crash shows whether the task placed last was the cause. */
     MonotonicTime exclusiveUntil{};
+
+    /** Returns true if the worker gets no tasks at a time because of faults of runs or refused starts. */
+    bool isKeptFromTasks(MonotonicTime at) const
+    {
+        return at < std::max(suspendedUntil, avoidUntil);
+    }
 };
 
 /** A reported run end that is acknowledged to its worker once it is stored in the journal. */
