--- a/review/cell-3/cases.cpp
+++ b/review/cell-3/cases.cpp
@@ -259,78 +259,6 @@
     return lost > 0 ? broken : held;
 }
 
-/** The worker of a long task crashes, again and again. No run of the task ends as failed. */
-int runCrashes(Cell &cell, bool hasTrouble)
-{
-    constexpr int crashes = 6;
-    constexpr int workMs = 6'000;
-    constexpr Milliseconds limit{15'000};
-    constexpr Milliseconds step{50};
-    const std::string id = "b000000000000001";
-    if (!startUp(cell)) {
-        return couldNotRun;
-    }
-    if (cell.submit(id, makeJob(workMs, json::array{makeStep(1, 2'000)}), 4).status != statusOk) {
-        return couldNotRun;
-    }
-    for (int n = 0; hasTrouble && n < crashes; ++n) {
-        Worker *worker = nullptr;
-        for (const auto until = Clock::now() + limit; worker == nullptr && Clock::now() < until; wait(step)) {
-            const auto it = std::ranges::find_if(cell.workers, [](const auto &w) { return !w->running().empty(); });
-            worker = it == cell.workers.end() ? nullptr : it->get();
-        }
-        if (worker == nullptr) {
-            break;
-        }
-        wait(Milliseconds{1'500});
-        worker->crash();
-        wait(Milliseconds{2'000});
-        worker->boot(worker->capacity());
-        wait(Milliseconds{500});
-        if (cell.stateOf(id) == "failed") {
-            break;
-        }
-    }
-    std::string state;
-    for (const auto until = Clock::now() + limit; Clock::now() < until; wait(Milliseconds{1'000})) {
-        state = cell.stateOf(id);
-        if (state != "running" && state != "queued") {
-            break;
-        }
-    }
-    std::int64_t failed = 0;
-    for (const auto &it : cell.workers) {
-        failed += it->ends("failed");
-    }
-    cell.note("the job is shown as " + state + "; " + std::to_string(failed) + " of its runs ended as failed");
-    return state == "failed" && failed == 0 ? broken : held;
-}
-
-/** A client hands in a job under an ID with capital hexadecimal digits. */
-int runCapitals(Cell &cell, bool hasTrouble)
-{
-    const std::string id = hasTrouble ? "A5C0E7A21D94B36F" : "a5c0e7a21d94b36f";
-    if (!startUp(cell)) {
-        return couldNotRun;
-    }
-    const auto result = cell.submit(id, makeJob(300, json::array{makeStep(2, 500)}), 4);
-    wait(Milliseconds{3'000});
-    cell.stateOf(id);
-    int unasked = 0;
-    for (const auto &worker : cell.workers) {
-        for (const auto &it : worker->starts()) {
-            if (it.task.substr(0, it.task.find('.')) != id) {
-                ++unasked;
-                cell.note("UNASKED: " + worker->id() + " was told to start " + it.task + ", which no client sent");
-            }
-        }
-    }
-    if (result.status != statusOk) {
-        return held;
-    }
-    return unasked > 0 ? broken : held;
-}
-
 /**
  * A worker falls silent while jobs are placed. The daemons give as `waiting` fewer than half of the jobs that were
  * accepted over 5 s before and have not begun.
@@ -386,8 +314,6 @@
 {
     const std::map<std::string, int (*)(Cell &, bool)> cases{{"many-occurrences", runManyOccurrences},
                                                              {"long-job", runLongJob},
-                                                             {"crashes", runCrashes},
-                                                             {"capitals", runCapitals},
                                                              {"silent-worker", runSilentWorker},
                                                              {"smaller-kind", runSmallerKind}};
     const auto it = cases.find(name);
