--- a/review/cell-3/cases.cpp
+++ b/review/cell-3/cases.cpp
@@ -25,7 +25,7 @@
     return "a" + std::string(digits - 1 - text.size(), '0') + text;
 }
 
-/** Starts a small deployment: three daemons and eight workers of 16 cores in three zones. */
+/** Starts a small deployment: three daemons, and eight workers of 16 cores in three zones. */
 bool startUp(Cell &cell)
 {
     const std::array<std::string, 3> zones{"akl", "wlg", "chc"};
@@ -157,7 +157,7 @@
     constexpr int attempts = 5;
     constexpr int chain = 150;
     constexpr int workMs = 200;
-    constexpr Milliseconds period{40'000};
+    constexpr Milliseconds period{70'000};
     if (!startUp(cell)) {
         return couldNotRun;
     }
@@ -259,6 +259,115 @@
     return lost > 0 ? broken : held;
 }
 
+/**
+ * A worker leaves a start order unanswered and crashes, and crashes again as it comes back, so that it is silent until
+ * its lease has run out. Its next life carries the order out late, while the task's next run works elsewhere.
+ */
+int runLateStart(Cell &cell, bool hasTrouble)
+{
+    constexpr int others = 20; // so that one order in 21 is late
+    constexpr int workMs = 9'000;
+    constexpr Milliseconds step{20};
+    constexpr Milliseconds down{4'400};
+    constexpr Milliseconds limit{5'000};
+    constexpr Milliseconds lateAfter{11'000}; // 2 to 12 s
+    constexpr Milliseconds period{6'000};
+    const std::string id = "b000000000000001";
+    if (!startUp(cell)) {
+        return couldNotRun;
+    }
+    for (int n = 0; n < others; ++n) {
+        cell.submit(idOf(n), makeJob(300, json::array{makeStep(1, 500)}), 4);
+    }
+    wait(Milliseconds{6'000}); // the workers' clocks go on
+    for (const auto &it : cell.workers) {
+        it->setLate(hasTrouble);
+    }
+    if (cell.submit(id, makeJob(workMs, json::array{makeStep(1, 2'000)}), 4).status != statusOk) {
+        return couldNotRun;
+    }
+    if (hasTrouble) {
+        Worker *worker = nullptr;
+        for (const auto until = Clock::now() + limit; worker == nullptr && Clock::now() < until;
+             wait(Milliseconds{1})) {
+            const auto it = std::ranges::find_if(cell.workers, [](const auto &w) { return w->lateOrders() > 0; });
+            worker = it == cell.workers.end() ? nullptr : it->get();
+        }
+        if (worker == nullptr) {
+            return couldNotRun;
+        }
+        const auto orderedAt = Clock::now();
+        for (const auto &it : cell.workers) {
+            it->setLate(false);
+        }
+        worker->crash();
+        wait(down);
+        worker->boot(worker->capacity());
+        worker->crash();
+        wait(down);
+        worker->boot(worker->capacity());
+        std::this_thread::sleep_until(orderedAt + lateAfter);
+        worker->carryOutLate();
+    }
+    int twice = 0;
+    for (const auto until = Clock::now() + period; Clock::now() < until; wait(step)) {
+        std::map<std::string, std::string> runsOn;
+        for (const auto &worker : cell.workers) {
+            for (const auto &task : worker->running()) {
+                const auto [it, isFirst] = runsOn.try_emplace(task, worker->id());
+                if (!isFirst && twice++ == 0) {
+                    cell.note("TWICE: " + task + " runs on " + it->second + " and on " + worker->id());
+                }
+            }
+        }
+    }
+    cell.note("the job is shown as " + cell.stateOf(id));
+    return twice > 0 ? broken : held;
+}
+
+/**
+ * Each worker runs a task that takes 45 s and uses a part of it. Then large tasks come at once, which fit on a
+ * worker only when that task has ended. Small jobs, for which each worker has room, wait with them.
+ */
+int runLargeTasks(Cell &cell, bool hasTrouble)
+{
+    constexpr int workers = 8;
+    constexpr int longMs = 45'000;
+    constexpr int longCpu = 6'000;
+    constexpr int fillMs = 12'000;
+    constexpr int fillCpu = 10'000;
+    constexpr int largeCpu = 12'000;
+    constexpr int smallCpu = 500;
+    constexpr int others = 10;
+    constexpr int chain = 1;
+    constexpr int attempts = 5;
+    if (!startUp(cell)) {
+        return couldNotRun;
+    }
+    auto longStep = makeStep(workers, longCpu);
+    longStep["estRuntimeMs"] = longMs;
+    longStep["antiAffinity"] = 1;
+    if (cell.submit("b000000000000001", makeJob(longMs, json::array{longStep}), attempts).status != statusOk) {
+        return couldNotRun;
+    }
+    auto filler = makeStep(workers, fillCpu);
+    filler["estRuntimeMs"] = fillMs;
+    filler["antiAffinity"] = 1;
+    cell.submit("b000000000000002", makeJob(fillMs, json::array{filler}), attempts);
+    wait(Milliseconds{1'000});
+    for (int n = 0; n < workers; ++n) {
+        auto step = makeStep(1, hasTrouble ? largeCpu : smallCpu);
+        step["estRuntimeMs"] = 1'000;
+        cell.submit("c" + idOf(n).substr(1), makeJob(1'000, json::array{step}), attempts);
+    }
+    wait(Milliseconds{4'000});
+    std::vector<Accepted> accepted;
+    for (int n = 0; n < others; ++n) {
+        submitChain(cell, accepted, chain, 300);
+    }
+    return countLost(cell, accepted, Milliseconds{20'000}) > 0 ? broken : held;
+}
+
 /**
  * A worker falls silent while jobs are placed. The daemons give as `waiting` fewer than half of the jobs that were
  * accepted over 5 s before and have not begun.
@@ -314,6 +423,8 @@
 {
     const std::map<std::string, int (*)(Cell &, bool)> cases{{"many-occurrences", runManyOccurrences},
                                                              {"long-job", runLongJob},
+                                                             {"late-start", runLateStart},
+                                                             {"large-tasks", runLargeTasks},
                                                              {"silent-worker", runSilentWorker},
                                                              {"smaller-kind", runSmallerKind}};
     const auto it = cases.find(name);
--- a/review/cell-3/cell.cpp
+++ b/review/cell-3/cell.cpp
@@ -338,6 +338,30 @@
     m_changed.notify_all();
 }
 
+void Worker::setLate(bool isLate)
+{
+    const std::lock_guard lock(m_mutex);
+    m_isLate = isLate;
+}
+
+std::size_t Worker::lateOrders() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_late.size();
+}
+
+void Worker::carryOutLate()
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_isUp || m_late.empty()) {
+        return;
+    }
+    advance();
+    const auto result = start(m_late.front());
+    m_record.write(m_id + ": carries out the late order " + json::serialize(m_late.front()) + " with status "
+                   + std::to_string(result.status) + " " + result.body);
+}
+
 bool Worker::isOverCapacity() const
 {
     const std::lock_guard lock(m_mutex);
@@ -444,6 +468,11 @@
     }
     advance();
     const auto &body = parsed.as_object();
+    if (request.path == "/api/run-start" && m_isLate) {
+        m_late.push_back(body);
+        m_record.write(m_id + ": leaves an order unanswered: " + request.body);
+        return {0, ""};
+    }
     if (request.path == "/api/run-start") {
         return start(body);
     }
--- a/review/cell-3/cell.h
+++ b/review/cell-3/cell.h
@@ -131,6 +131,15 @@
     /** While mute, the worker takes connections and requests, but answers none and carries none out. */
     void setMute(bool isMute);
 
+    /** While set, start orders get no answer; they are kept until carryOutLate(). */
+    void setLate(bool isLate);
+
+    /** Carries out the first start order that got no answer, if the worker is up. */
+    void carryOutLate();
+
+    /** Returns how many start orders got no answer. */
+    std::size_t lateOrders() const;
+
     /** While set, the worker cannot write its entry. */
     std::atomic<bool> isCutFromStore = false;
     /** Returns true if a start has brought the worker over its capacity. */
@@ -175,6 +184,8 @@
     bool m_isUp = true;
     bool m_isOverCapacity = false;
     bool m_isMute = false;
+    bool m_isLate = false;
+    std::vector<json::object> m_late; ///< Bodies of start orders that got no answer.
     std::set<std::string> m_done;
     Clock::time_point m_bootedAt = Clock::now();
     std::int64_t m_born = 0;
