--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the case "silent-worker" of build/review-3/cell, see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the
+# Runs the case "large-tasks" of build/review-3/cell, see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the
 # case could not run. With TROUBLE=0 it does the same without the disruption.
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
@@ -11,7 +11,7 @@
     rm -rf "$work"
 }
 trap finish EXIT
-timeout -k 2 115 build/review-3/cell silent-worker "$work" "$here/record.txt"
+timeout -k 2 115 build/review-3/cell large-tasks "$work" "$here/record.txt"
 result=$?
 [ $result -le 1 ] && exit $result
 exit 2
