--- a/review/cell-3/cases.cpp
+++ b/review/cell-3/cases.cpp
@@ -396,7 +396,7 @@
     for (const auto until = Clock::now() + period; Clock::now() < until; wait(Milliseconds{200})) {
         std::set<std::string> begun;
         const auto askedAt = Clock::now();
-        const auto result = cell.send(daemon++, "GET", "/work/", "");
+        const auto result = cell.send(daemon++, "GET", "/queue/", "");
         for (const auto &worker : cell.workers) {
             for (const auto &it : worker->starts()) {
                 begun.insert(it.task.substr(0, it.task.find('.')));
--- a/review/cell-3/cell.cpp
+++ b/review/cell-3/cell.cpp
@@ -754,7 +754,7 @@
 {
     CallResult result;
     for (int n = 0; n < attempts; ++n) {
-        result = send(m_nextDaemon++, "POST", "/work/" + id, body);
+        result = send(m_nextDaemon++, "POST", "/queue/" + id, body);
         const bool isOpen = result.status == 0 || result.status == statusBadGateway || result.status == statusDeadline;
         const bool isRefused = result.status == statusTooMany || result.status == statusUnavailable;
         if (!isOpen && !isRefused) {
@@ -768,7 +768,7 @@
 {
     std::string last;
     for (std::size_t n = 0; n < daemons.size(); ++n) {
-        const auto result = send(m_nextDaemon++, "GET", "/work/" + id, "");
+        const auto result = send(m_nextDaemon++, "GET", "/queue/" + id, "");
         last = std::to_string(result.status);
         if (result.status == statusOk) {
             return text(json::parse(result.body).as_object(), "state");
@@ -789,7 +789,7 @@
 
 json::object makeConfig(int version)
 {
-    return json::parse(R"({"routes":[{"name":"r-work","host":"cell.example","pathPrefix":"/work/",
+    return json::parse(R"({"routes":[{"name":"r-work","host":"cell.example","pathPrefix":"/queue/",
 "kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":3000,"priority":1,"service":"desk","maxAttempts":3,
 "stretch":4.0,"public":true}],"services":[{"name":"desk","healthPath":"/health","maxConns":64,"protocol":"h1",
 "tls":false,"coldStartS":0.0,"coldPerS":0.0,"rejectsOverload":false,"spare":false}],
--- a/review/cell-3/cell.h
+++ b/review/cell-3/cell.h
@@ -256,7 +256,7 @@
     std::atomic<std::size_t> m_nextDaemon = 0;
 };
 
-/** Returns a configuration with one queue "/work/" of service "desk" and one open team. */
+/** Returns a configuration with one queue "/queue/" of service "desk" and one open team. */
 json::object makeConfig(int version);
 
 /** Returns the body of a job. */
