Tell the causes of a failed start apart

What they could see told no more: an address that is taken, a settings file that can't be read, a refused setting and a wrong command line all had status 1 and a line of plain text on standard error, without a time; an exception ended the process by SIGABRT.

Cause: the programs had two results, success and failure, and wrote the failure outside the log.

Now each cause has an exit status of its own, by the convention of sysexits.h (64, 66, 69, 70, 71, 78), and a line event=start_failed in the usual format on standard output with step, address or path, cause and what follows. Both daemons share the table, the line and the help text. Errors of listening tell an address that is taken from one that can't be had.

The process of client_limits_test.cpp is now shared with them.

--- a/apps/flamingotallyd/main.cpp
+++ b/apps/flamingotallyd/main.cpp
@@ -2,9 +2,8 @@
 #include "options.h"
 
 #include "codec/settings_codec.h"
-#include "core/error.h"
 #include "net/daemon.h"
-#include "net/log_line.h"
+#include "net/start_log.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -24,12 +23,10 @@
  */
 int run(const Settings &settings)
 {
-    const Logger logger(settings.logLevel);
     boost::asio::io_context io(1);
     const auto daemon = DaemonBuilder(settings).whenStopped([&io] { io.stop(); }).build(io);
     if (const auto status = daemon->start(); !status.ok()) {
-        logger.write(LogLevel::Error, status);
-        return EXIT_FAILURE;
+        return StartLog(settings.name).failed(status);
     }
     boost::asio::signal_set signals(io, SIGINT, SIGTERM);
     signals.async_wait([&](const boost::system::error_code &ec, int) {
@@ -41,14 +38,11 @@
     return EXIT_SUCCESS;
 }
 
-} // namespace
-
-int main(int argc, char **argv)
+int runMain(int argc, char **argv)
 {
     const auto options = parseOptions(argc, argv);
     if (!options.ok()) {
-        fmt::print(stderr, "flamingotallyd: {}\n", messageOf(options.status()));
-        return EXIT_FAILURE;
+        return StartLog().failed(options.status());
     }
     switch (options->mode) {
     case Mode::Help:
@@ -67,3 +61,10 @@
         return run(options->settings);
     }
 }
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    return runLogged([&] { return runMain(argc, argv); });
+}
--- a/apps/flamingotallyd/options.cpp
+++ b/apps/flamingotallyd/options.cpp
@@ -1,7 +1,7 @@
 #include "options.h"
 
 #include "codec/settings_codec.h"
-#include "core/error.h"
+#include "net/start_log.h"
 
 #include <boost/program_options.hpp>
 
@@ -77,11 +77,11 @@
         po::store(po::command_line_parser(argc, argv).options(description).positional({}).run(), values);
         po::notify(values);
     } catch (const po::error &error) {
-        return makeError(absl::StatusCode::kInvalidArgument, Step::ReadSettings, "", error.what());
+        return usageError(error.what());
     }
     Options options;
     std::ostringstream help;
-    help << description;
+    help << description << '\n' << exitStatusHelp();
     options.help = help.str();
     options.mode = modeOf(values);
     if (options.mode == Mode::Help || options.mode == Mode::Version) {
--- a/src/codec/settings_field.h
+++ b/src/codec/settings_field.h
@@ -3,7 +3,9 @@
 
 #include "codec/toml_field.h"
 
+#include <cerrno>
 #include <charconv>
+#include <cstring>
 #include <fstream>
 #include <sstream>
 
@@ -68,7 +70,7 @@
 {
     std::ifstream stream(path);
     if (!stream) {
-        return makeError(absl::StatusCode::kNotFound, Step::ReadSettings, "", fmt::format("cannot read {}", path));
+        return makeError(absl::StatusCode::kNotFound, Step::ReadSettings, path, std::strerror(errno));
     }
     std::ostringstream text;
     text << stream.rdbuf();
--- a/src/codec/toml_field.h
+++ b/src/codec/toml_field.h
@@ -33,7 +33,7 @@
 {
     return makeError(absl::StatusCode::kInvalidArgument,
                      Step::ReadSettings,
-                     "",
+                     file,
                      fmt::format("{}:{}: {}", file, position.line, message));
 }
 
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -15,7 +15,7 @@
  * Creates an error.
  * @param code Status code of the error.
  * @param step Step at which the error occurred.
- * @param peer Name or address of the other side; empty when no other side is involved.
+ * @param peer Name or address of the other side, or path of the file; empty when there is neither.
  * @param message Description of the error, for people.
  * @return A status whose payloads contain the name of the step and the peer.
  */
--- a/src/dispatch/net/event_log.cpp
+++ b/src/dispatch/net/event_log.cpp
@@ -1,7 +1,7 @@
 #include "dispatch/net/event_log.h"
 
 #include "net/clock.h"
-#include "table/log_table.h"
+#include "net/event_line.h"
 
 #include <fmt/format.h>
 
@@ -29,17 +29,12 @@
     if (row.level < m_minLevel) {
         return;
     }
-    const auto wallMs = SystemClock().wallNow().time_since_epoch().count();
-    const auto level = nameOf(logLevelTable, row.level);
-    auto line = fmt::format("time_ms={} level={} daemon={} event={}", wallMs, level, m_name, row.name);
-    if (event.job != 0) {
-        line += fmt::format(" job={:016x}", event.job);
+    auto fields = event.job != 0 ? fmt::format("job={:016x}", event.job) : std::string();
+    if (!fields.empty() && !event.fields.empty()) {
+        fields += ' ';
     }
-    if (!event.fields.empty()) {
-        line += ' ';
-        line += event.fields;
-    }
-    line += '\n';
+    fields += event.fields;
+    const auto line = formatEventLine(SystemClock().wallNow(), {row.level, m_name, row.name, fields});
     if (m_buf.size() + line.size() > (row.isFrequent ? maxBytesForFrequent : maxBytes)) {
         ++dropped;
         return;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,11 +1,11 @@
 #include "net/http_server.h"
 
-#include "core/error.h"
 #include "net/endpoint.h"
 #include "net/http_error.h"
 #include "net/http_message.h"
 #include "net/http_receive.h"
 #include "net/http_server_state.h"
+#include "net/start_log.h"
 
 #include <utility>
 
@@ -326,8 +326,7 @@
 {
     const auto endpoint = parseEndpoint<tcp::endpoint>(address);
     if (!endpoint) {
-        return makeError(
-            absl::StatusCode::kInvalidArgument, Step::Listen, address, "not an address of the form IP:port");
+        return addressFormError(address);
     }
     auto &acceptor = m_state->acceptor;
     error_code ec;
@@ -342,7 +341,7 @@
         acceptor.listen(asio::socket_base::max_listen_connections, ec);
     }
     if (ec) {
-        return makeError(absl::StatusCode::kUnavailable, Step::Listen, address, ec.message());
+        return listenError(address, ec);
     }
     asio::co_spawn(m_state->io, acceptConnections(m_state), asio::detached);
     return absl::OkStatus();
--- a/src/net/log_line.cpp
+++ b/src/net/log_line.cpp
@@ -2,14 +2,13 @@
 
 #include "core/error.h"
 #include "net/clock.h"
+#include "net/event_line.h"
 #include "table/log_table.h"
 #include "table/step_table.h"
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
-#include <algorithm>
-
 namespace flamingotally
 {
 
@@ -18,30 +17,6 @@
 
 constexpr std::int64_t millisecondsPerSecond = 1'000;
 
-bool isUnquoted(char c)
-{
-    return c > ' ' && c != '"' && c != '\\' && c != '=' && c != '\x7f';
-}
-
-std::string escapedValue(std::string_view value)
-{
-    if (!value.empty() && std::ranges::all_of(value, isUnquoted)) {
-        return std::string(value);
-    }
-    std::string text = "\"";
-    for (const char c : value) {
-        if (c == '"' || c == '\\') {
-            text += '\\';
-            text += c;
-        } else if (static_cast<unsigned char>(c) < ' ' || c == '\x7f') {
-            text += fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
-        } else {
-            text += c;
-        }
-    }
-    return text + '"';
-}
-
 void addPair(std::string &text, std::string_view key, std::string_view value)
 {
     text += fmt::format(" {}={}", key, escapedValue(value));
--- a/src/net/peer_channel.cpp
+++ b/src/net/peer_channel.cpp
@@ -3,11 +3,11 @@
 #include "codec/cereal_codec.h"
 #include "codec/log_codec.h"
 #include "codec/message_auth.h"
-#include "core/error.h"
 #include "net/coroutine.h"
 #include "net/endpoint.h"
 #include "net/log_read.h"
 #include "net/peer_frame.h"
+#include "net/start_log.h"
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -206,11 +206,10 @@
 {
     const auto endpoint = parseEndpoint<udp::endpoint>(address);
     if (!endpoint) {
-        return makeError(
-            absl::StatusCode::kInvalidArgument, Step::Listen, address, "not an address of the form IP:port");
+        return addressFormError(address);
     }
     if (const auto ec = bindBoth(*m_state, *endpoint)) {
-        return makeError(absl::StatusCode::kUnavailable, Step::Listen, address, ec.message());
+        return listenError(address, ec);
     }
     asio::co_spawn(m_state->io, receiveDatagrams(m_state), asio::detached);
     asio::co_spawn(m_state->io, acceptPeers(m_state), asio::detached);
--- a/src/step_type.h
+++ b/src/step_type.h
@@ -8,6 +8,7 @@
 
 /** Processing step. Every error carries the step at which it occurred. */
 enum class Step : std::uint8_t {
+    ReadArguments,
     ReadSettings,
     Listen,
     ParseRequest,
--- a/src/table/step_table.h
+++ b/src/table/step_table.h
@@ -8,6 +8,7 @@
 {
 
 constexpr EnumTable<Step> stepTable{{
+    {Step::ReadArguments, "read_arguments"},
     {Step::ReadSettings, "read_settings"},
     {Step::Listen, "listen"},
     {Step::ParseRequest, "parse_request"},
--- a/tests/client_limits_test.cpp
+++ b/tests/client_limits_test.cpp
@@ -2,6 +2,7 @@
  * @file client_limits_test.cpp Callers outside the limits against the real entry daemon on loopback. Each test checks
  * only that the process lives, its peak memory, its open descriptors, and that an ordinary request is answered.
  */
+#include "child_process.h"
 #include "net_fixture.h"
 #include "platform_fixture.h"
 
@@ -10,14 +11,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
-#include <sys/types.h>
-#include <sys/wait.h>
-
-#include <fcntl.h>
-#include <unistd.h>
-
 #include <algorithm>
-#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <list>
@@ -58,57 +52,27 @@
 }
 
 /** The entry daemon as a child process. */
-class EntryProcess
+class EntryProcess : public ChildProcess
 {
 public:
     explicit EntryProcess(const dispatch::EntrySettings &settings)
+        : ChildProcess({.arguments = {ENTRY_PROGRAM,
+                                      "--set=name=" + settings.name,
+                                      "--set=frontAddress=" + settings.frontAddress,
+                                      "--set=readyAddress=" + settings.readyAddress,
+                                      "--set=peerAddress=" + settings.peerAddress,
+                                      "--set=metricsAddress=" + settings.metricsAddress,
+                                      "--set=storeAddress=" + settings.storeAddress,
+                                      "--set=adviceAddress=" + settings.adviceAddress,
+                                      fmt::format("--set=memoryMb={}", settings.memoryMb),
+                                      fmt::format("--set=maxDescriptors={}", settings.maxDescriptors)}})
     {
-        const std::vector<std::string> arguments{ENTRY_PROGRAM,
-                                                 "--set=name=" + settings.name,
-                                                 "--set=frontAddress=" + settings.frontAddress,
-                                                 "--set=readyAddress=" + settings.readyAddress,
-                                                 "--set=peerAddress=" + settings.peerAddress,
-                                                 "--set=metricsAddress=" + settings.metricsAddress,
-                                                 "--set=storeAddress=" + settings.storeAddress,
-                                                 "--set=adviceAddress=" + settings.adviceAddress,
-                                                 fmt::format("--set=memoryMb={}", settings.memoryMb),
-                                                 fmt::format("--set=maxDescriptors={}", settings.maxDescriptors)};
-        std::vector<char *> pointers;
-        pointers.reserve(arguments.size() + 1);
-        for (const auto &it : arguments) {
-            pointers.push_back(const_cast<char *>(it.c_str())); // NOLINT(cppcoreguidelines-pro-type-const-cast): execv
-        }
-        pointers.push_back(nullptr);
-        m_pid = fork();
-        CPPUNIT_ASSERT(m_pid >= 0);
-        if (m_pid == 0) {
-            const int nowhere = open("/dev/null", O_WRONLY);
-            dup2(nowhere, STDOUT_FILENO);
-            execv(pointers.front(), pointers.data());
-            _exit(EXIT_FAILURE);
-        }
-    }
-    EntryProcess(const EntryProcess &) = delete;
-    EntryProcess &operator=(const EntryProcess &) = delete;
-
-    ~EntryProcess()
-    {
-        if (isAlive()) {
-            kill(m_pid, SIGKILL);
-            waitpid(m_pid, nullptr, 0);
-        }
-    }
-
-    bool isAlive()
-    {
-        m_hasEnded = m_hasEnded || waitpid(m_pid, nullptr, WNOHANG) == m_pid;
-        return !m_hasEnded;
     }
 
     /** Returns the peak of the resident memory in kilobytes. */
     std::size_t peakKb() const
     {
-        std::ifstream status(fmt::format("/proc/{}/status", m_pid));
+        std::ifstream status(fmt::format("/proc/{}/status", id()));
         for (std::string line; std::getline(status, line);) {
             if (line.starts_with("VmHWM:")) {
                 return std::stoul(line.substr(6));
@@ -119,13 +83,9 @@
 
     std::size_t descriptors() const
     {
-        const std::filesystem::directory_iterator files(fmt::format("/proc/{}/fd", m_pid));
+        const std::filesystem::directory_iterator files(fmt::format("/proc/{}/fd", id()));
         return static_cast<std::size_t>(std::distance(begin(files), end(files)));
     }
-
-private:
-    pid_t m_pid = 0;
-    bool m_hasEnded = false;
 };
 
 /** Connections that each send the same bytes and stay open. */
--- /dev/null
+++ b/tests/start_test.cpp
@@ -0,0 +1,204 @@
+/**
+ * @file start_test.cpp The start of the real daemons: the exit status and the log line of each failure, addresses that
+ * another process has, and settings files that are not whole yet.
+ */
+#include "start_fixture.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+
+using namespace flamingotally;
+
+namespace
+{
+
+constexpr int statusStopped = 0;
+constexpr int statusUsage = 64;
+constexpr int statusUnreadable = 66;
+constexpr int statusAddressTaken = 69;
+constexpr int statusUnexpected = 70;
+constexpr int statusAddressUnavailable = 71;
+constexpr int statusRefused = 78;
+constexpr Milliseconds limit{10'000}; ///< Longest wait for what must happen at all.
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+/** Waits until a condition is true; fails at the limit. */
+template<typename Condition>
+void await(const std::string &what, Condition condition)
+{
+    const auto until = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        CPPUNIT_ASSERT_MESSAGE(what, std::chrono::steady_clock::now() < until);
+        std::this_thread::sleep_for(Milliseconds{10});
+    }
+}
+
+} // namespace
+
+/** Tests of one program. */
+template<typename Program>
+class StartTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StartTest);
+    CPPUNIT_TEST(invalidCommandLineEndsWithItsOwnStatus);
+    CPPUNIT_TEST(refusedSettingEndsWithItsOwnStatus);
+    CPPUNIT_TEST(addressOfAnotherHostEndsWithItsOwnStatusAtOnce);
+    CPPUNIT_TEST(missingSettingsFileEndsWithItsOwnStatus);
+    CPPUNIT_TEST(exceptionEndsWithItsOwnStatus);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        for (const auto *it : Program::addresses) {
+            m_addresses.push_back(unusedAddress());
+            m_settings.push_back(fmt::format("{} = '{}'", it, m_addresses.back()));
+        }
+        for (const auto &it : Program::settings()) {
+            m_settings.push_back(it);
+        }
+    }
+
+    // Guards against a status of 1 for all causes, as in review/11.
+    void invalidCommandLineEndsWithItsOwnStatus()
+    {
+        auto child = run({"--nonsense"});
+        expectFailure(*child, statusUsage, "step=read_arguments failure=usage");
+    }
+
+    void refusedSettingEndsWithItsOwnStatus()
+    {
+        writeSettings("nonsense = 1\n");
+        auto child = run({"--config=" + settingsPath()});
+        expectFailure(
+            *child,
+            statusRefused,
+            fmt::format("step=read_settings path={} failure=settings_refused cause=\"{}:{}: unknown key 'nonsense'\"",
+                        settingsPath(),
+                        settingsPath(),
+                        m_settings.size() + 1));
+    }
+
+    void addressOfAnotherHostEndsWithItsOwnStatusAtOnce()
+    {
+        lastAddressSetting() = fmt::format("{} = '192.0.2.1:29300'", Program::addresses.back());
+        auto child = start();
+        expectFailure(
+            *child, statusAddressUnavailable, "step=listen address=192.0.2.1:29300 failure=address_unavailable");
+        CPPUNIT_ASSERT(!contains(output(), "event=start_waits"));
+    }
+
+    void missingSettingsFileEndsWithItsOwnStatus()
+    {
+        auto child = run({"--config=" + settingsPath()});
+        expectFailure(
+            *child, statusUnreadable, "step=read_settings path=" + settingsPath() + " failure=settings_unreadable");
+    }
+
+    void exceptionEndsWithItsOwnStatus()
+    {
+        writeSettings();
+        constexpr rlim_t tooFew = 4; // without room for the descriptors of the event loop
+        ChildProcess child({.arguments = {Program::path, "--config=" + settingsPath()},
+                            .output = outputPath(),
+                            .maxDescriptors = tooFew});
+        expectFailure(child, statusUnexpected, "failure=unexpected_error");
+    }
+
+private:
+    std::string settingsPath() const
+    {
+        return m_folder.file("settings.toml");
+    }
+
+    std::string outputPath() const
+    {
+        return m_folder.file("output");
+    }
+
+    /** Returns what the daemons have written so far. */
+    std::string output() const
+    {
+        return textOf(outputPath());
+    }
+
+    std::string &lastAddressSetting()
+    {
+        return m_settings[Program::addresses.size() - 1];
+    }
+
+    /** Writes the settings file, with a further line at its end. */
+    void writeSettings(const std::string &further = {})
+    {
+        std::ofstream(settingsPath()) << fmt::format("{}\n{}", fmt::join(m_settings, "\n"), further);
+    }
+
+    std::unique_ptr<ChildProcess> run(const std::vector<std::string> &arguments)
+    {
+        ChildOptions options{{Program::path}, outputPath()};
+        options.arguments.insert(options.arguments.end(), arguments.begin(), arguments.end());
+        return std::make_unique<ChildProcess>(options);
+    }
+
+    /** Starts a daemon with the settings. */
+    std::unique_ptr<ChildProcess> start()
+    {
+        writeSettings();
+        return run({"--config=" + settingsPath()});
+    }
+
+    bool respondsAnywhere() const
+    {
+        return std::ranges::any_of(m_addresses, [](const auto &it) { return OpenConnection(it).responds(); });
+    }
+
+    void awaitService() const
+    {
+        for (const auto n : Program::answering) {
+            await("it serves", [&] { return OpenConnection(m_addresses[n]).responds(); });
+        }
+    }
+
+    /** Checks the exit status of a process and the line of its log that tells the cause. */
+    void expectFailure(ChildProcess &child, int status, const std::string &fields) const
+    {
+        const auto seen = child.exitStatus(limit);
+        CPPUNIT_ASSERT(seen);
+        CPPUNIT_ASSERT_EQUAL(status, *seen);
+        const auto text = output();
+        const auto event = text.rfind("event=start_failed ");
+        CPPUNIT_ASSERT_MESSAGE(text, event != std::string::npos);
+        const auto begin = text.rfind('\n', event) + 1; // zero for the first line
+        const auto line = text.substr(begin, text.find('\n', event) - begin);
+        CPPUNIT_ASSERT_MESSAGE(line, line.starts_with("time_ms="));
+        CPPUNIT_ASSERT_MESSAGE(line, contains(line, "level=error "));
+        CPPUNIT_ASSERT_MESSAGE(line, contains(line, fields));
+        CPPUNIT_ASSERT_MESSAGE(line, contains(line, fmt::format("next=\"exits with status {}\"", status)));
+    }
+
+    TemporaryFolder m_folder;
+    std::vector<std::string> m_addresses; ///< In the order of `Program::addresses`.
+    std::vector<std::string> m_settings; ///< Lines of the settings file.
+};
+
+class EntryStartTest : public StartTest<EntryProgram>
+{
+    CPPUNIT_TEST_SUB_SUITE(EntryStartTest, StartTest<EntryProgram>);
+    CPPUNIT_TEST_SUITE_END();
+};
+
+class NativeStartTest : public StartTest<NativeProgram>
+{
+    CPPUNIT_TEST_SUB_SUITE(NativeStartTest, StartTest<NativeProgram>);
+    CPPUNIT_TEST_SUITE_END();
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryStartTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(NativeStartTest);
