Wait for addresses that another process has

Cause: start() gave up at the first address that could not be taken.

Now a daemon tries again with pauses of 20 to 500 ms with jitter, for addressTimeoutMs (10 s; 35 s for the native daemon, whose shutdown may take 30 s), keeps what it has, accepts connections at no address before it has all, logs when it begins to wait and when it goes on, and obeys SIGTERM. Then it ends with status 69. Other errors are final at once. The incarnation is made after the wait, so that it is newer than that of a daemon that had the addresses meanwhile. Servers first bind and then accept; the steps of listening stood twice and are one function now. The test fixtures wait for no address, as they choose another port instead.

--- a/apps/flamingotallyd/main.cpp
+++ b/apps/flamingotallyd/main.cpp
@@ -35,6 +35,9 @@
         }
     });
     io.run();
+    if (const auto status = daemon->outcome(); !status.ok()) {
+        return StartLog(settings.name).failed(status);
+    }
     return EXIT_SUCCESS;
 }
 
--- a/src/dispatch/entry_settings.h
+++ b/src/dispatch/entry_settings.h
@@ -44,6 +44,7 @@
     Milliseconds appendPause{20}; ///< Pause between two batches that a writer sends to the journal.
     Milliseconds refusingStoreTimeout{400}; ///< How long a request waits while the store refuses records.
     Milliseconds unresponsiveStoreTimeout{2'000}; ///< How long a request waits while the store does not respond.
+    Milliseconds addressTimeout{10'000}; ///< Longest wait for an address of another process; a shutdown takes 5 s.
     Milliseconds drainTime{3'000}; ///< How long a daemon that shuts down still accepts connections.
     Milliseconds jobRetention{600'000}; ///< How long jobs are retained after their end.
     /** Time after which the past use of a team counts half as much; zero takes no account of past use. */
--- a/src/dispatch/net/peer_server.cpp
+++ b/src/dispatch/net/peer_server.cpp
@@ -68,6 +68,16 @@
     m_routes.push_back({std::move(path), std::move(handler)});
 }
 
+absl::Status PeerServer::bind(const std::string &address)
+{
+    return m_server.bind(address);
+}
+
+void PeerServer::accept()
+{
+    m_server.accept();
+}
+
 absl::Status PeerServer::listen(const std::string &address)
 {
     return m_server.listen(address);
--- a/src/dispatch/net/peer_server.h
+++ b/src/dispatch/net/peer_server.h
@@ -40,10 +40,16 @@
                AdviceFunction requestAdvice,
                HttpServerSettings settings = {});
 
-    /** Adds a service: requests to a path go to a handler. Call it before listen(). */
+    /** Adds a service: requests to a path go to a handler. Call it before accept(). */
     void addRoute(std::string path, HttpHandler handler);
 
-    /** Listens on an address "IP:port". */
+    /** Takes an address "IP:port"; see HttpServer::bind(). */
+    absl::Status bind(const std::string &address);
+
+    /** Starts to accept connections, after bind() has succeeded. */
+    void accept();
+
+    /** Takes an address and starts to accept connections. */
     absl::Status listen(const std::string &address);
 
     /** Closes the server and all connections immediately. */
--- a/src/net/daemon.cpp
+++ b/src/net/daemon.cpp
@@ -8,6 +8,7 @@
 #include "net/log_client.h"
 #include "net/log_line.h"
 #include "net/peer_channel.h"
+#include "net/server_start.h"
 #include "net/tick_loop.h"
 #include "net/worker_client.h"
 #include "runtime.h"
@@ -49,6 +50,7 @@
 
     MonotonicTime tickOnce();
     void logChanges();
+    void finishStart(const absl::Status &status);
     void drain();
     void stop();
     PortContext makeContext();
@@ -69,16 +71,21 @@
     AsioPeerChannel peers;
     Front front;
     HttpServer server;
+    ServerStart serverStart;
+    absl::Status outcome; ///< Error for which the start was given up.
 };
 
 Daemon::State::State(boost::asio::io_context &io, Node initialNode, std::function<void()> whenStopped)
     : node(std::move(initialNode)), logger(node.settings.logLevel), notifyStopped(std::move(whenStopped)),
       loop(io, [this] { return tickOnce(); }), http(io), log(makeContext()), workers(makeContext()),
       hosts(makeContext()), peers(io, makeContext()), front(node, makeFrontPorts()),
-      server(io, serverSettingsOf(node.settings), [this](const HttpRequest &request, HttpResponder respond) {
-          front.handle(request, std::move(respond));
-      })
+      server(io,
+             serverSettingsOf(node.settings),
+             [this](const HttpRequest &request, HttpResponder respond) { front.handle(request, std::move(respond)); }),
+      serverStart(io, node.settings.name, node.settings.addressTimeout)
 {
+    serverStart.add(node.settings.peerAddress, peers);
+    serverStart.add(node.settings.httpAddress, server);
 }
 
 PortContext Daemon::State::makeContext()
@@ -137,6 +144,29 @@
     }
 }
 
+/** Begins to serve once all addresses are taken, or stops without having served. */
+void Daemon::State::finishStart(const absl::Status &status)
+{
+    outcome = status;
+    if (!status.ok()) {
+        if (const auto callback = std::exchange(notifyStopped, nullptr)) {
+            callback();
+        }
+        return;
+    }
+    node.isFrontOpen = true;
+    if (node.incarnation == 0) {
+        // later than that of each daemon which has had these addresses before
+        node.incarnation = static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count());
+    }
+    logger.write({LogLevel::Info, Step::Listen, "", "started"},
+                 {{"daemon", node.settings.name},
+                  {"domain", node.settings.domain},
+                  {"http", server.address()},
+                  {"incarnation", std::to_string(node.incarnation)}});
+    loop.wake();
+}
+
 /** Drains the HTTP server; Node::isFrontOpen becomes false once the server has drained. Further calls do nothing. */
 void Daemon::State::drain()
 {
@@ -168,27 +198,23 @@
 
 absl::Status Daemon::start()
 {
-    auto &state = *m_state;
-    const auto &settings = state.node.settings;
-    if (auto status = state.peers.listen(settings.peerAddress); !status.ok()) {
-        return status;
-    }
-    if (auto status = state.server.listen(settings.httpAddress); !status.ok()) {
-        return status;
-    }
-    state.node.isFrontOpen = true;
-    state.logger.write({LogLevel::Info, Step::Listen, "", "started"},
-                       {{"daemon", settings.name},
-                        {"domain", settings.domain},
-                        {"http", state.server.address()},
-                        {"incarnation", std::to_string(state.node.incarnation)}});
-    state.loop.wake();
-    return absl::OkStatus();
+    m_state->serverStart.start([this](const absl::Status &status) { m_state->finishStart(status); });
+    return m_state->outcome;
+}
+
+absl::Status Daemon::outcome() const
+{
+    return m_state->outcome;
 }
 
 void Daemon::drain()
 {
     auto &state = *m_state;
+    if (!state.node.isFrontOpen && state.node.phase == NodePhase::CatchingUp) {
+        state.serverStart.cancel();
+        state.stop();
+        return;
+    }
     if (state.node.phase != NodePhase::Drained) {
         state.node.phase = NodePhase::Draining;
         state.loop.wake();
@@ -222,8 +248,7 @@
 {
     Node node;
     node.settings = m_settings;
-    const auto wall = static_cast<std::uint64_t>(SystemClock().wallNow().time_since_epoch().count());
-    node.incarnation = m_incarnation != 0 ? m_incarnation : wall;
+    node.incarnation = m_incarnation;
     node.random.seed(m_seed != 0 ? m_seed : std::random_device()());
     return std::unique_ptr<Daemon>(new Daemon(std::make_unique<Daemon::State>(io, std::move(node), m_notifyStopped)));
 }
--- a/src/net/daemon.h
+++ b/src/net/daemon.h
@@ -26,9 +26,16 @@
     Daemon(const Daemon &) = delete;
     Daemon &operator=(const Daemon &) = delete;
 
-    /** Listens for callers and peers, and starts to read the log; returns the first error. */
+    /**
+     * Takes the addresses for callers and peers, then serves and starts to read the log. If another process has an
+     * address, the daemon waits for it on the io_context, for `addressTimeout` at most, and does not serve meanwhile.
+     * @return The error for which the start is given up at once; without one, outcome() tells what became of the wait.
+     */
     absl::Status start();
 
+    /** Returns the error for which the start was given up, if it was. */
+    absl::Status outcome() const;
+
     /** Starts a graceful shutdown: the daemon responds to all pending requests, leaves the cell, then stops. */
     void drain();
 
@@ -63,7 +70,7 @@
      */
     DaemonBuilder &withSeed(std::uint64_t seed);
 
-    /** Sets a function that is called once, when the shutdown of the daemon is complete. */
+    /** Sets a function that is called once, when the shutdown of the daemon is complete or the start was given up. */
     DaemonBuilder &whenStopped(std::function<void()> function);
 
     /**
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -5,6 +5,7 @@
 #include "net/http_message.h"
 #include "net/http_receive.h"
 #include "net/http_server_state.h"
+#include "net/listen_socket.h"
 #include "net/start_log.h"
 
 #include <utility>
@@ -322,31 +323,32 @@
     close();
 }
 
-absl::Status HttpServer::listen(const std::string &address)
+absl::Status HttpServer::bind(const std::string &address)
 {
     const auto endpoint = parseEndpoint<tcp::endpoint>(address);
     if (!endpoint) {
         return addressFormError(address);
     }
-    auto &acceptor = m_state->acceptor;
-    error_code ec;
-    acceptor.open(endpoint->protocol(), ec);
-    if (!ec) {
-        acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-    }
-    if (!ec) {
-        acceptor.bind(*endpoint, ec);
-    }
-    if (!ec) {
-        acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    }
-    if (ec) {
+    if (const auto ec = listenOn(m_state->acceptor, *endpoint)) {
         return listenError(address, ec);
     }
-    asio::co_spawn(m_state->io, acceptConnections(m_state), asio::detached);
     return absl::OkStatus();
 }
 
+void HttpServer::accept()
+{
+    asio::co_spawn(m_state->io, acceptConnections(m_state), asio::detached);
+}
+
+absl::Status HttpServer::listen(const std::string &address)
+{
+    auto status = bind(address);
+    if (status.ok()) {
+        accept();
+    }
+    return status;
+}
+
 std::string HttpServer::address() const
 {
     error_code ignored;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -54,9 +54,16 @@
     ~HttpServer();
 
     /**
-     * Binds the address and starts to accept connections.
-     * @param address "IP:port"; port 0 binds any free port.
+     * Takes an address, on which the kernel queues connections until accept() is called. May be called again after an
+     * error.
+     * @param address "IP:port"; port 0 takes any free port.
      */
+    absl::Status bind(const std::string &address);
+
+    /** Starts to accept connections, after bind() has succeeded. */
+    void accept();
+
+    /** Takes an address and starts to accept connections. */
     absl::Status listen(const std::string &address);
 
     /** Returns the address on which the server listens, with the port that was bound. */
--- a/src/net/peer_channel.cpp
+++ b/src/net/peer_channel.cpp
@@ -5,6 +5,7 @@
 #include "codec/message_auth.h"
 #include "net/coroutine.h"
 #include "net/endpoint.h"
+#include "net/listen_socket.h"
 #include "net/log_read.h"
 #include "net/peer_frame.h"
 #include "net/start_log.h"
@@ -163,20 +164,10 @@
     state->ports.wake();
 }
 
-/** Binds the TCP and the UDP socket to one address. */
+/** Binds the TCP and the UDP socket to one address, or neither. */
 error_code bindBoth(State &state, udp::endpoint endpoint)
 {
-    error_code ec;
-    state.acceptor.open(tcp::endpoint(endpoint.address(), endpoint.port()).protocol(), ec);
-    if (!ec) {
-        state.acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-    }
-    if (!ec) {
-        state.acceptor.bind({endpoint.address(), endpoint.port()}, ec);
-    }
-    if (!ec) {
-        state.acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    }
+    auto ec = listenOn(state.acceptor, {endpoint.address(), endpoint.port()});
     if (!ec) {
         endpoint.port(state.acceptor.local_endpoint().port());
         state.socket.open(endpoint.protocol(), ec);
@@ -187,6 +178,11 @@
     if (!ec) {
         state.socket.non_blocking(true, ec);
     }
+    if (ec) {
+        error_code ignored;
+        state.socket.close(ignored);
+        state.acceptor.close(ignored);
+    }
     return ec;
 }
 
@@ -202,7 +198,7 @@
     close();
 }
 
-absl::Status AsioPeerChannel::listen(const std::string &address)
+absl::Status AsioPeerChannel::bind(const std::string &address)
 {
     const auto endpoint = parseEndpoint<udp::endpoint>(address);
     if (!endpoint) {
@@ -211,9 +207,22 @@
     if (const auto ec = bindBoth(*m_state, *endpoint)) {
         return listenError(address, ec);
     }
+    return absl::OkStatus();
+}
+
+void AsioPeerChannel::accept()
+{
     asio::co_spawn(m_state->io, receiveDatagrams(m_state), asio::detached);
     asio::co_spawn(m_state->io, acceptPeers(m_state), asio::detached);
-    return absl::OkStatus();
+}
+
+absl::Status AsioPeerChannel::listen(const std::string &address)
+{
+    auto status = bind(address);
+    if (status.ok()) {
+        accept();
+    }
+    return status;
 }
 
 std::string AsioPeerChannel::address() const
--- a/src/net/peer_channel.h
+++ b/src/net/peer_channel.h
@@ -38,6 +38,12 @@
      */
     absl::Status listen(const std::string &address);
 
+    /** Takes an address without using it yet. May be called again after an error. */
+    absl::Status bind(const std::string &address);
+
+    /** Starts to accept connections and datagrams, after bind() has succeeded. */
+    void accept();
+
     /** Returns the address on which the channel listens, with the port that was bound. */
     std::string address() const;
 
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -42,6 +42,7 @@
     /** Time, in addition to the wait, after which an exchange with a worker without a response counts as failed. */
     Milliseconds workerTimeout{2'000};
     Milliseconds requestTimeout{10'000}; ///< Longest time that a caller waits for its work to be accepted.
+    Milliseconds addressTimeout{35'000}; ///< Longest wait for an address of another process, more than `drainTimeout`.
     Milliseconds drainTimeout{30'000}; ///< Longest time that a shutdown waits for requests in flight.
     /** Time between two snapshots of the tables. Must be at most a third of the log's retention time. */
     Milliseconds snapshotInterval{600'000};
--- a/tests/platform_fixture.h
+++ b/tests/platform_fixture.h
@@ -39,6 +39,7 @@
     settings.storeAddress = standin.storeAddress();
     settings.adviceAddress = standin.adviceAddress();
     settings.logLevel = LogLevel::Error;
+    settings.addressTimeout = Milliseconds{0};
     return settings;
 }
 
--- a/tests/start_test.cpp
+++ b/tests/start_test.cpp
@@ -50,8 +50,15 @@
     CPPUNIT_TEST(invalidCommandLineEndsWithItsOwnStatus);
     CPPUNIT_TEST(refusedSettingEndsWithItsOwnStatus);
     CPPUNIT_TEST(addressOfAnotherHostEndsWithItsOwnStatusAtOnce);
+    CPPUNIT_TEST(addressThatStaysTakenEndsWithItsOwnStatus);
     CPPUNIT_TEST(missingSettingsFileEndsWithItsOwnStatus);
     CPPUNIT_TEST(exceptionEndsWithItsOwnStatus);
+    CPPUNIT_TEST(daemonWaitsForEachAddressAndServesAtNoneMeanwhile);
+    CPPUNIT_TEST(addressThatIsFreedAfterTwoSecondsIsTaken);
+    CPPUNIT_TEST(successorOfAPausedDaemonWaitsForItsEnd);
+    CPPUNIT_TEST(tenRestartsWhileClientsHoldConnections);
+    CPPUNIT_TEST(secondDaemonWithTheSameAddressesGivesUp);
+    CPPUNIT_TEST(shutdownWhileItWaitsLeavesNothingBehind);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -95,6 +102,16 @@
         CPPUNIT_ASSERT(!contains(output(), "event=start_waits"));
     }
 
+    void addressThatStaysTakenEndsWithItsOwnStatus()
+    {
+        const AddressHolder holder(m_addresses.back());
+        m_settings.push_back("addressTimeoutMs = 300");
+        auto child = start();
+        expectFailure(
+            *child, statusAddressTaken, "step=listen address=" + m_addresses.back() + " failure=address_taken");
+        CPPUNIT_ASSERT(contains(output(), "event=start_waits step=listen address=" + m_addresses.back()));
+    }
+
     void missingSettingsFileEndsWithItsOwnStatus()
     {
         auto child = run({"--config=" + settingsPath()});
@@ -112,6 +129,101 @@
         expectFailure(child, statusUnexpected, "failure=unexpected_error");
     }
 
+    // Guards against daemons that end as long as another process has an address, and against those that serve at a
+    // part.
+    void daemonWaitsForEachAddressAndServesAtNoneMeanwhile()
+    {
+        for (const auto &it : m_addresses) {
+            auto holder = std::make_unique<AddressHolder>(it);
+            auto child = start();
+            await("it waits", [&] { return contains(output(), "event=start_waits step=listen address=" + it); });
+            CPPUNIT_ASSERT(!respondsAnywhere());
+            CPPUNIT_ASSERT(child->isAlive());
+            holder.reset();
+            awaitService();
+            CPPUNIT_ASSERT(contains(output(), "event=start_resumed step=listen address=" + it));
+            child->signal(SIGTERM);
+            CPPUNIT_ASSERT(child->exitStatus(limit) == statusStopped);
+            std::filesystem::remove(outputPath());
+        }
+    }
+
+    void addressThatIsFreedAfterTwoSecondsIsTaken()
+    {
+        auto holder = std::make_unique<AddressHolder>(m_addresses.front());
+        auto child = start();
+        CPPUNIT_ASSERT(!child->exitStatus(Milliseconds{2'000}) && child->isAlive());
+        holder.reset();
+        awaitService();
+    }
+
+    // Guards against a restart that fails while the predecessor is paused, or not reaped yet.
+    void successorOfAPausedDaemonWaitsForItsEnd()
+    {
+        auto paused = start();
+        awaitService();
+        paused->signal(SIGSTOP);
+        auto successor = start();
+        await("it waits", [&] { return contains(output(), "event=start_waits"); });
+        CPPUNIT_ASSERT(!successor->exitStatus(Milliseconds{500}) && successor->isAlive());
+        paused->signal(SIGKILL);
+        awaitService();
+        CPPUNIT_ASSERT(!paused->isAlive() && successor->isAlive());
+    }
+
+    void tenRestartsWhileClientsHoldConnections()
+    {
+        constexpr int restarts = 10;
+        constexpr int clients = 5;
+        std::vector<std::unique_ptr<OpenConnection>> connections;
+        auto daemon = start();
+        for (int n = 0; n < restarts; ++n) {
+            awaitService();
+            for (int client = 0; client < clients; ++client) {
+                connections.push_back(std::make_unique<OpenConnection>(m_addresses.back()));
+                connections.push_back(std::make_unique<OpenConnection>(m_addresses[Program::answering.back()]));
+                CPPUNIT_ASSERT(connections.back()->responds());
+            }
+            const bool isKilled = n % 2 == 1;
+            daemon->signal(isKilled ? SIGKILL : SIGTERM);
+            auto successor = start();
+            const auto status = daemon->exitStatus(limit);
+            CPPUNIT_ASSERT(isKilled || status == statusStopped);
+            daemon = std::move(successor);
+        }
+        awaitService();
+        CPPUNIT_ASSERT(daemon->isAlive());
+        CPPUNIT_ASSERT(!contains(output(), "event=start_failed"));
+    }
+
+    void secondDaemonWithTheSameAddressesGivesUp()
+    {
+        auto first = start();
+        awaitService();
+        m_settings.push_back("addressTimeoutMs = 500");
+        const auto startedAt = std::chrono::steady_clock::now();
+        auto second = start();
+        expectFailure(*second, statusAddressTaken, "failure=address_taken");
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - startedAt >= Milliseconds{500});
+        CPPUNIT_ASSERT(first->isAlive());
+        awaitService();
+    }
+
+    void shutdownWhileItWaitsLeavesNothingBehind()
+    {
+        auto holder = std::make_unique<AddressHolder>(m_addresses.back());
+        auto child = start();
+        await("it waits", [&] { return contains(output(), "event=start_waits"); });
+        const auto signalledAt = std::chrono::steady_clock::now();
+        child->signal(SIGTERM);
+        CPPUNIT_ASSERT(child->exitStatus(limit) == statusStopped);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - signalledAt < Milliseconds{1'000});
+        holder.reset();
+        for (const auto &it : m_addresses) {
+            const AddressHolder taken(it);
+        }
+    }
+
 private:
     std::string settingsPath() const
     {
