Wait for a settings file that is not whole yet

What operators would see: a daemon that starts before the platform has placed its settings file ends at once; one that starts while the file is written takes what is there: an empty file gave a daemon with default addresses and the name "entry", a last line cut within a number a wrong limit.

Cause: the file was read once, and any text that is TOML was taken for all of it.

Now a daemon that is to run waits 5 s for a file that can't be read (then status 66), and reads one that is empty, malformed or without an end of its last line again until it has not changed for 500 ms (then 78, or taken as it is if only the newline is missing).

--- a/apps/flamingotallyd/options.cpp
+++ b/apps/flamingotallyd/options.cpp
@@ -1,6 +1,8 @@
 #include "options.h"
 
 #include "codec/settings_codec.h"
+#include "codec/settings_field.h"
+#include "net/settings_file.h"
 #include "net/start_log.h"
 
 #include <boost/program_options.hpp>
@@ -48,12 +50,23 @@
     return values.count("print-config") > 0 ? Mode::PrintConfig : Mode::Run;
 }
 
+/** Reads a settings file. A daemon that is to run waits for one that is not whole yet. */
+absl::StatusOr<std::string> readFile(const std::string &path, Mode mode)
+{
+    return mode == Mode::Run ? awaitSettingsFile(path, StartLog()) : readTextFile(path);
+}
+
 /** Reads the settings file, if one is named, and applies the overrides of the command line. */
-absl::StatusOr<Settings> readSettings(const po::variables_map &values)
+absl::StatusOr<Settings> readSettings(const po::variables_map &values, Mode mode)
 {
     SettingsBuilder builder;
     if (values.count("config") > 0) {
-        if (auto status = builder.addFile(values["config"].as<std::string>()); !status.ok()) {
+        const auto path = values["config"].as<std::string>();
+        const auto text = readFile(path, mode);
+        if (!text.ok()) {
+            return text.status();
+        }
+        if (auto status = builder.addToml(*text, path); !status.ok()) {
             return status;
         }
     }
@@ -87,7 +100,7 @@
     if (options.mode == Mode::Help || options.mode == Mode::Version) {
         return options;
     }
-    auto settings = readSettings(values);
+    auto settings = readSettings(values, options.mode);
     if (!settings.ok()) {
         return settings.status();
     }
--- a/src/codec/settings_codec.cpp
+++ b/src/codec/settings_codec.cpp
@@ -11,11 +11,6 @@
     return readSettingsToml(settingsTable, m_settings, text, file);
 }
 
-absl::Status SettingsBuilder::addFile(const std::string &path)
-{
-    return readSettingsFile(settingsTable, m_settings, path);
-}
-
 absl::Status SettingsBuilder::addOverride(const std::string &assignment)
 {
     return readSetting(settingsTable, m_settings, assignment);
--- a/src/codec/settings_codec.h
+++ b/src/codec/settings_codec.h
@@ -25,9 +25,6 @@
      */
     absl::Status addToml(std::string_view text, const std::string &file);
 
-    /** Adds the values of a TOML file. Fails like addToml(), or when the file cannot be read. */
-    absl::Status addFile(const std::string &path);
-
     /**
      * Sets one value from the command line.
      * @param assignment "key=value"; a text value is not quoted.
--- a/src/codec/settings_field.h
+++ b/src/codec/settings_field.h
@@ -3,11 +3,11 @@
 
 #include "codec/toml_field.h"
 
+#include <array>
 #include <cerrno>
 #include <charconv>
 #include <cstring>
 #include <fstream>
-#include <sstream>
 
 namespace flamingotally
 {
@@ -64,17 +64,20 @@
     return absl::OkStatus();
 }
 
-/** Sets the values that a TOML file contains. Fails like readSettingsToml(), or when the file cannot be read. */
-template<typename Rows, typename T>
-absl::Status readSettingsFile(const Rows &rows, T &settings, const std::string &path)
+/** Reads a whole file; fails when it is not there or cannot be read. */
+inline absl::StatusOr<std::string> readTextFile(const std::string &path)
 {
+    errno = 0;
     std::ifstream stream(path);
-    if (!stream) {
+    std::string text;
+    std::array<char, 4096> buf{};
+    while (stream.read(buf.data(), buf.size()) || stream.gcount() > 0) {
+        text.append(buf.data(), static_cast<std::size_t>(stream.gcount()));
+    }
+    if (!stream.is_open() || stream.bad()) {
         return makeError(absl::StatusCode::kNotFound, Step::ReadSettings, path, std::strerror(errno));
     }
-    std::ostringstream text;
-    text << stream.rdbuf();
-    return readSettingsToml(rows, settings, text.str(), path);
+    return text;
 }
 
 /**
--- a/src/dispatch/codec/entry_settings_codec.cpp
+++ b/src/dispatch/codec/entry_settings_codec.cpp
@@ -8,9 +8,9 @@
 
 using namespace dispatch;
 
-absl::Status EntrySettingsBuilder::addFile(const std::string &path)
+absl::Status EntrySettingsBuilder::addToml(std::string_view text, const std::string &file)
 {
-    return readSettingsFile(entrySettingsTable, m_settings, path);
+    return readSettingsToml(entrySettingsTable, m_settings, text, file);
 }
 
 absl::Status EntrySettingsBuilder::addOverride(const std::string &assignment)
--- a/src/dispatch/codec/entry_settings_codec.h
+++ b/src/dispatch/codec/entry_settings_codec.h
@@ -14,8 +14,11 @@
 class EntrySettingsBuilder
 {
 public:
-    /** Reads the values of a TOML file. An error names the file, the line and the expected value. */
-    absl::Status addFile(const std::string &path);
+    /**
+     * Reads the values of a TOML text. An error names the file, the line and the expected value.
+     * @param file Path of the text's file, for error messages.
+     */
+    absl::Status addToml(std::string_view text, const std::string &file);
 
     /** Reads one value that is given as "key=value". */
     absl::Status addOverride(const std::string &assignment);
--- a/src/net/start_log.cpp
+++ b/src/net/start_log.cpp
@@ -114,8 +114,7 @@
 void StartLog::write(StartEvent event, const absl::Status &error, std::string_view next) const
 {
     const auto &row = rowOf(startEventTable, event);
-    const auto line =
-        formatEventLine(SystemClock().wallNow(), {row.level, m_daemon, row.name, fieldsOf(error, next)});
+    const auto line = formatEventLine(SystemClock().wallNow(), {row.level, m_daemon, row.name, fieldsOf(error, next)});
     // a short line is written whole or, when no reader takes it, not at all
     [[maybe_unused]] const auto written = ::write(STDOUT_FILENO, line.data(), line.size());
 }
--- a/src/start_type.h
+++ b/src/start_type.h
@@ -25,4 +25,14 @@
     End,
 };
 
+/** What a try to read the settings file has found. */
+enum class SettingsFileState : std::uint8_t {
+    Whole,
+    Unreadable, ///< Not there, or not readable; another process may be about to place it.
+    Empty, ///< Without a character that is not blank.
+    NotEnded, ///< The last line has no end, so that its value may be cut off.
+    Malformed, ///< Not TOML.
+    End,
+};
+
 } // namespace flamingotally
--- a/src/table/start_table.h
+++ b/src/table/start_table.h
@@ -40,4 +40,20 @@
 }};
 static_assert(isComplete(startFailureTable));
 
+/** Properties of a state of the settings file. */
+struct SettingsFileStateRow {
+    SettingsFileState value;
+    std::string_view name;
+    std::string_view text; ///< Cause in the log; empty if the error of the system is the cause, or if there is none.
+};
+
+constexpr EnumTable<SettingsFileState, SettingsFileStateRow> settingsFileStateTable{{
+    {SettingsFileState::Whole, "whole", ""},
+    {SettingsFileState::Unreadable, "unreadable", ""},
+    {SettingsFileState::Empty, "empty", "the file is empty"},
+    {SettingsFileState::NotEnded, "not_ended", "the last line has no end"},
+    {SettingsFileState::Malformed, "malformed", "the file is not TOML"},
+}};
+static_assert(isComplete(settingsFileStateTable));
+
 } // namespace flamingotally
--- a/tests/start_test.cpp
+++ b/tests/start_test.cpp
@@ -59,6 +59,11 @@
     CPPUNIT_TEST(tenRestartsWhileClientsHoldConnections);
     CPPUNIT_TEST(secondDaemonWithTheSameAddressesGivesUp);
     CPPUNIT_TEST(shutdownWhileItWaitsLeavesNothingBehind);
+    CPPUNIT_TEST(settingsFileThatAppearsLaterIsRead);
+    CPPUNIT_TEST(settingsFileThatIsWrittenInPartsIsReadWhole);
+    CPPUNIT_TEST(settingsFileThatStaysEmptyIsRefused);
+    CPPUNIT_TEST(settingsFileThatStaysMalformedIsRefused);
+    CPPUNIT_TEST(settingsFileWithoutFinalNewlineIsRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -224,6 +229,57 @@
         }
     }
 
+    // Guards against an end at once while another process is about to place the file.
+    void settingsFileThatAppearsLaterIsRead()
+    {
+        auto child = run({"--config=" + settingsPath()});
+        await("it waits", [&] { return contains(output(), "event=start_waits step=read_settings"); });
+        writeSettings();
+        awaitService();
+        CPPUNIT_ASSERT(contains(output(), "event=start_resumed step=read_settings"));
+    }
+
+    // Guards against a daemon that runs with the first part of its settings, and defaults for the others.
+    void settingsFileThatIsWrittenInPartsIsReadWhole()
+    {
+        writeSettings();
+        const auto whole = textOf(settingsPath());
+        std::ofstream(settingsPath()) << "";
+        auto child = run({"--config=" + settingsPath()});
+        await("it waits", [&] { return contains(output(), "event=start_waits step=read_settings"); });
+        constexpr std::size_t parts = 5;
+        for (std::size_t n = 1; n < parts; ++n) {
+            const auto end = whole.size() * n / parts;
+            const auto withoutNewline = whole[end - 1] == '\n' ? end - 1 : end;
+            std::ofstream(settingsPath()) << whole.substr(0, withoutNewline);
+            std::this_thread::sleep_for(Milliseconds{300});
+            CPPUNIT_ASSERT(child->isAlive() && !respondsAnywhere());
+        }
+        std::ofstream(settingsPath()) << whole;
+        awaitService();
+    }
+
+    void settingsFileThatStaysEmptyIsRefused()
+    {
+        std::ofstream(settingsPath()) << " \n";
+        auto child = run({"--config=" + settingsPath()});
+        expectFailure(*child, statusRefused, "failure=settings_refused cause=\"the file is empty\"");
+    }
+
+    void settingsFileThatStaysMalformedIsRefused()
+    {
+        writeSettings("logLevel = \n");
+        auto child = run({"--config=" + settingsPath()});
+        expectFailure(*child, statusRefused, "path=" + settingsPath() + " failure=settings_refused");
+    }
+
+    void settingsFileWithoutFinalNewlineIsRead()
+    {
+        writeSettings("logLevel = 'info'");
+        auto child = run({"--config=" + settingsPath()});
+        awaitService();
+    }
+
 private:
     std::string settingsPath() const
     {
