Keep the native daemon alive when the reader of its log ends

What operators would see: flamingotallyd ends by SIGPIPE as soon as it logs after the process that reads its standard error has ended. Found while the start was tested.

Cause: only the entry daemon ignored SIGPIPE, and a line that can't be written threw.

Now both daemons ignore the signal from the start on, and a line of the log that can't be written is lost.

--- a/src/net/log_line.cpp
+++ b/src/net/log_line.cpp
@@ -9,6 +9,8 @@
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
+#include <cstdio>
+
 namespace flamingotally
 {
 
@@ -46,7 +48,8 @@
 void Logger::write(const LogLine &line, std::initializer_list<LogField> fields) const
 {
     if (line.level >= m_minLevel) {
-        fmt::print(stderr, "{}\n", formatLogLine(SystemClock().wallNow(), line, fields));
+        const auto text = formatLogLine(SystemClock().wallNow(), line, fields) + '\n';
+        std::fwrite(text.data(), 1, text.size(), stderr); // a log without a reader is no reason to end
     }
 }
 
--- a/src/net/start_log.h
+++ b/src/net/start_log.h
@@ -7,6 +7,7 @@
 
 #include <boost/system/error_code.hpp>
 
+#include <csignal>
 #include <exception>
 #include <string>
 #include <string_view>
@@ -60,10 +61,14 @@
     std::string m_daemon;
 };
 
-/** Runs the main function of a daemon. An exception ends the process with a line in the log and an exit status. */
+/**
+ * Runs the main function of a daemon. An exception ends the process with a line in the log and an exit status; a reader
+ * of the log that goes away does not end it.
+ */
 template<typename Main>
 int runLogged(Main main)
 {
+    std::signal(SIGPIPE, SIG_IGN);
     try {
         return main();
     } catch (const std::exception &error) {
--- a/tests/start_test.cpp
+++ b/tests/start_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(settingsFileThatStaysEmptyIsRefused);
     CPPUNIT_TEST(settingsFileThatStaysMalformedIsRefused);
     CPPUNIT_TEST(settingsFileWithoutFinalNewlineIsRead);
+    CPPUNIT_TEST(daemonWithoutAReaderOfItsLogServes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -280,6 +281,16 @@
         awaitService();
     }
 
+    // Guards against a daemon that ends because the process that reads its log has ended.
+    void daemonWithoutAReaderOfItsLogServes()
+    {
+        writeSettings();
+        ChildProcess child({.arguments = {Program::path, "--config=" + settingsPath()}, .isLogUnread = true});
+        awaitService();
+        CPPUNIT_ASSERT(!child.exitStatus(Milliseconds{1'500}) && child.isAlive());
+        awaitService();
+    }
+
 private:
     std::string settingsPath() const
     {
