Test that the incarnation of a daemon is made after its wait

The start that waits for addresses makes the incarnation when it has them. A test now checks that it is later than the moment at which the address was freed, and the tests' child processes keep their standard error beside their output.

--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -30,7 +30,7 @@
 /** How a program is run. */
 struct ChildOptions {
     std::vector<std::string> arguments{}; ///< Path of the program, and its arguments.
-    std::string output = "/dev/null"; ///< File that gets the standard output.
+    std::string output{}; ///< File that gets the standard output and error; if empty, the output is discarded.
     bool isLogUnread = false; ///< The standard output and error are a pipe without a reader.
     rlim_t maxDescriptors = 0; ///< Limit of the process; zero for that of the test.
 };
@@ -99,8 +99,12 @@
     [[noreturn]] static void run(const ChildOptions &options, const std::vector<char *> &arguments)
     {
         constexpr mode_t mode = 0600;
-        const int output = open(options.output.c_str(), O_WRONLY | O_CREAT | O_APPEND, mode);
+        const auto *path = options.output.empty() ? "/dev/null" : options.output.c_str();
+        const int output = open(path, O_WRONLY | O_CREAT | O_APPEND, mode);
         dup2(output, STDOUT_FILENO);
+        if (!options.output.empty()) {
+            dup2(output, STDERR_FILENO);
+        }
         if (options.isLogUnread) {
             std::array<int, 2> ends{};
             [[maybe_unused]] const int result = pipe(ends.data());
--- a/tests/start_test.cpp
+++ b/tests/start_test.cpp
@@ -2,6 +2,7 @@
  * @file start_test.cpp The start of the real daemons: the exit status and the log line of each failure, addresses that
  * another process has, and settings files that are not whole yet.
  */
+#include "net/clock.h"
 #include "start_fixture.h"
 
 #include <cppunit/TestFixture.h>
@@ -159,8 +160,13 @@
         auto holder = std::make_unique<AddressHolder>(m_addresses.front());
         auto child = start();
         CPPUNIT_ASSERT(!child->exitStatus(Milliseconds{2'000}) && child->isAlive());
+        CPPUNIT_ASSERT(!contains(output(), " incarnation="));
+        const auto freedAt = SystemClock().wallNow().time_since_epoch().count();
         holder.reset();
         awaitService();
+        await("its incarnation is logged", [&] { return contains(output(), " incarnation="); });
+        // newer than that of a daemon which had the address meanwhile
+        CPPUNIT_ASSERT(incarnation() >= freedAt);
     }
 
     // Guards against a restart that fails while the predecessor is paused, or not reaped yet.
@@ -308,6 +314,14 @@
         return textOf(outputPath());
     }
 
+    /** Returns the incarnation that the first started daemon has logged. */
+    std::int64_t incarnation() const
+    {
+        const std::string key = " incarnation=";
+        const auto text = output();
+        return std::stoll(text.substr(text.find(key) + key.size()));
+    }
+
     std::string &lastAddressSetting()
     {
         return m_settings[Program::addresses.size() - 1];
